--- /dev/null
+++ b/cmd/agent/main.go
@@ -0,0 +1,4 @@
+// Command placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/frame/frame.go
@@ -0,0 +1,146 @@
+// Package frame defines the messages between entries and agents and their
+// encoding: a length of four bytes, a kind of one byte and a CBOR map. Start
+// from [Write] and [Read].
+package frame
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Protocol is the version negotiated by ALPN.
+const Protocol = "damasktrail/1"
+
+// MaxSize is the largest frame in bytes; a whole document of 1 MB fits.
+const MaxSize = 2 << 20
+
+const headerSize = 5
+
+// Kind tells the type of a message.
+type Kind byte
+
+// The kinds of messages. Values are part of the protocol and never reused.
+const (
+	KindOpen   Kind = 1
+	KindHead   Kind = 2
+	KindChunk  Kind = 3
+	KindEnd    Kind = 4
+	KindRefuse Kind = 5
+	KindHello  Kind = 6
+	KindBeat   Kind = 7
+	KindPull   Kind = 8
+	KindChange Kind = 9
+	KindWhole  Kind = 10
+	KindIssue  Kind = 11
+	KindTicket Kind = 12
+	KindLeave  Kind = 13
+)
+
+// SizeError says that a frame exceeds MaxSize.
+type SizeError struct {
+	// Size is the announced size in bytes.
+	Size uint64
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("frame of %d bytes exceeds the limit of %d", e.Size, MaxSize)
+}
+
+// Raw is a received frame before its body is decoded.
+type Raw struct {
+	// Kind is the message's kind.
+	Kind Kind
+	// Body is the CBOR encoding of the message.
+	Body []byte
+}
+
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 17,
+		MaxMapPairs:      1 << 17,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return mode
+}
+
+// Append adds the encoded message to b.
+func Append(b []byte, kind Kind, message any) (res []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("encode frame of kind %d: %w", kind, err)
+		}
+	}()
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxSize {
+		return nil, &SizeError{Size: uint64(len(body))}
+	}
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	b = append(b, byte(kind))
+	return append(b, body...), nil
+}
+
+// Write encodes the message and writes it in one call.
+func Write(w io.Writer, kind Kind, message any) error {
+	b, err := Append(nil, kind, message)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+// Read reads one frame. It returns [io.EOF] only at a frame boundary.
+func Read(r io.Reader) (res Raw, err error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return Raw{}, err
+	}
+	size := binary.BigEndian.Uint32(header[:4])
+	if size > MaxSize {
+		return Raw{}, &SizeError{Size: uint64(size)}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return Raw{}, err
+	}
+	return Raw{Kind: Kind(header[4]), Body: body}, nil
+}
+
+// KindError says that another kind of message was expected.
+type KindError struct {
+	// Want and Got are the expected and the received kind.
+	Want, Got Kind
+}
+
+// Error implements error.
+func (e *KindError) Error() string {
+	return fmt.Sprintf("frame of kind %d where kind %d is expected", e.Got, e.Want)
+}
+
+// Decode decodes a frame that must be of the given kind.
+func Decode[T any](r Raw, want Kind) (res T, err error) {
+	if r.Kind != want {
+		return res, &KindError{Want: want, Got: r.Kind}
+	}
+	if err := decoding.Unmarshal(r.Body, &res); err != nil {
+		return res, fmt.Errorf("decode frame of kind %d: %w", want, err)
+	}
+	return res, nil
+}
--- /dev/null
+++ b/group/group.go
@@ -0,0 +1,60 @@
+// Package group starts goroutines and waits for them. It is the only place with
+// a go statement, so that no goroutine outlives the part that started it.
+package group
+
+import (
+	"context"
+	"sync"
+)
+
+// Group is a set of goroutines with one context. The zero value is not usable;
+// call [New].
+type Group struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	// closed is true once Close was called; Go then starts nothing.
+	closed bool
+}
+
+// New returns a group whose context ends with ctx or with Close.
+func New(ctx context.Context) *Group {
+	ctx, cancel := context.WithCancel(ctx)
+	return &Group{ctx: ctx, cancel: cancel}
+}
+
+// Context returns the context that the goroutines receive.
+func (g *Group) Context() context.Context {
+	return g.ctx
+}
+
+// Go runs f in a new goroutine. It reports false, and does not run f, after
+// Close.
+func (g *Group) Go(f func(ctx context.Context)) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
+	g.wait.Add(1)
+	go func() {
+		defer g.wait.Done()
+		f(g.ctx)
+	}()
+	return true
+}
+
+// Wait waits for all goroutines to return without asking them to.
+func (g *Group) Wait() {
+	g.wait.Wait()
+}
+
+// Close ends the context and waits for all goroutines.
+func (g *Group) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.cancel()
+	g.wait.Wait()
+}
