Add the queue of waiting requests

Change: package queue with tiers, deficit round robin over organisations, eviction of the newest of the lowest tier, deadline admission and expiry. In its own tier a request is charged at most the wait that its organisation's share implies, so another organisation's backlog does not refuse it. Conclusion: the agent can be built on this API.

--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,274 @@
+package queue_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"damasktrail.dev"
+	"damasktrail.dev/queue"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func item(id, organisation string, tier, prefill int) queue.Item[int] {
+	return queue.Item[int]{ID: id, Request: damasktrail.Request{
+		Organisation: organisation, Model: "m", Tier: tier,
+		Cost: damasktrail.Cost{Prefill: prefill}, Deadline: time.Minute,
+	}}
+}
+
+func ids(items []queue.Item[int]) []string {
+	res := []string{}
+	for _, it := range items {
+		res = append(res, it.ID)
+	}
+	return res
+}
+
+// Guards against shedding in the wrong order and against evictions that make
+// no room.
+func TestPushFull(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		limits  queue.Limits
+		waiting []queue.Item[int]
+		push    queue.Item[int]
+		evicted []string
+		reason  damasktrail.Reason
+	}{
+		{"room", queue.Limits{Requests: 2, Prefill: 100}, nil, item("x", "a", 1, 100), []string{}, ""},
+		{"newest of the lowest tier goes", queue.Limits{Requests: 4, Prefill: 100},
+			[]queue.Item[int]{item("a", "a", 2, 1), item("b", "a", 2, 1), item("c", "a", 1, 1), item("d", "a", 1, 1)},
+			item("x", "a", 0, 1), []string{"b"}, ""},
+		{"several go for their tokens", queue.Limits{Requests: 9, Prefill: 100},
+			[]queue.Item[int]{item("a", "a", 1, 40), item("b", "a", 2, 30), item("c", "a", 2, 30)},
+			item("x", "a", 0, 50), []string{"c", "b"}, ""},
+		{"equal tiers do not evict", queue.Limits{Requests: 1, Prefill: 100},
+			[]queue.Item[int]{item("a", "a", 1, 1)}, item("x", "b", 1, 1), []string{}, damasktrail.ReasonFull},
+		{"lower does not evict higher", queue.Limits{Requests: 1, Prefill: 100},
+			[]queue.Item[int]{item("a", "a", 0, 1)}, item("x", "b", 1, 1), []string{}, damasktrail.ReasonFull},
+		{"nothing goes when it would not suffice", queue.Limits{Requests: 9, Prefill: 100},
+			[]queue.Item[int]{item("a", "a", 0, 60), item("b", "a", 2, 30)},
+			item("x", "a", 1, 50), []string{}, damasktrail.ReasonFull},
+		{"an id waits once", queue.Limits{Requests: 9, Prefill: 100},
+			[]queue.Item[int]{item("x", "a", 0, 60)}, item("x", "a", 0, 1), []string{}, damasktrail.ReasonDuplicate},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			q := queue.New[int](tt.limits)
+			for _, it := range tt.waiting {
+				_, refusal := q.Push(it, epoch)
+				require.Nil(t, refusal)
+			}
+			evicted, refusal := q.Push(tt.push, epoch)
+			require.Equal(t, tt.evicted, ids(evicted))
+			if tt.reason == "" {
+				require.Nil(t, refusal)
+				return
+			}
+			require.Equal(t, tt.reason, refusal.Reason)
+		})
+	}
+}
+
+// Guards against refusing a request because of lower tiers or of another
+// organisation's backlog, and against accepting one that must be late.
+func TestPushDeadline(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		waiting []queue.Item[int]
+		push    queue.Item[int]
+		ok      bool
+	}{
+		{"own service fits", nil, item("x", "a", 1, 6000), true},
+		{"own service is too long", nil, item("x", "a", 1, 6100), false},
+		{"higher tiers count", []queue.Item[int]{item("a", "a", 0, 5500)}, item("x", "a", 1, 600), false},
+		{"the own tier counts", []queue.Item[int]{item("a", "a", 1, 5500)}, item("x", "a", 1, 600), false},
+		{"lower tiers do not count", []queue.Item[int]{item("a", "a", 2, 5500)}, item("x", "a", 1, 600), true},
+		{"others count up to the share", []queue.Item[int]{item("a", "b", 1, 5500)}, item("x", "a", 1, 600), true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			q := queue.New[int](queue.Limits{Requests: 9, Prefill: 1 << 20})
+			q.SetRates(queue.Rates{Prefill: 100, Decode: 100, Token: 10 * time.Millisecond})
+			for _, it := range tt.waiting {
+				_, refusal := q.Push(it, epoch)
+				require.Nil(t, refusal)
+			}
+			_, refusal := q.Push(tt.push, epoch)
+			require.Equal(t, tt.ok, refusal == nil, "%v", refusal)
+			if !tt.ok {
+				require.Equal(t, damasktrail.ReasonDeadline, refusal.Reason)
+				require.Equal(t, damasktrail.NotRun, refusal.Outcome)
+			}
+		})
+	}
+}
+
+// Guards against an organisation that gets more or less than its share, with
+// requests of different sizes.
+func TestPopShares(t *testing.T) {
+	q := queue.New[int](queue.Limits{Requests: 10000, Prefill: 1 << 30})
+	q.SetShares(map[string]float64{"a": 2, "b": 1})
+	for i := range 900 {
+		_, _ = q.Push(item(fmt.Sprint("a", i), "a", 0, 4000), epoch)
+		_, _ = q.Push(item(fmt.Sprint("b", i), "b", 0, 100), epoch)
+		_, _ = q.Push(item(fmt.Sprint("c", i), "c", 0, 1000), epoch)
+	}
+	served := map[string]int{}
+	for served["a"] < 400_000 {
+		it, ok := q.Pop(epoch)
+		require.True(t, ok)
+		served[it.Request.Organisation] += it.Request.Cost.Prefill
+	}
+	require.Equal(t, 90_000, served["b"], "b was exhausted below its share")
+	require.InDelta(t, 200_000, served["c"], 10_000)
+}
+
+// Guards against dispatching what is late and against losing it silently.
+func TestExpire(t *testing.T) {
+	q := queue.New[int](queue.Limits{Requests: 9, Prefill: 1 << 20})
+	q.SetRates(queue.Rates{Prefill: 100})
+	_, _ = q.Push(item("long", "a", 0, 3000), epoch)
+	_, _ = q.Push(item("short", "a", 1, 100), epoch)
+	require.Empty(t, q.Expire(epoch.Add(30*time.Second)))
+	late := epoch.Add(31 * time.Second)
+	it, ok := q.Pop(late)
+	require.True(t, ok)
+	require.Equal(t, "short", it.ID)
+	require.Equal(t, []string{"long"}, ids(q.Expire(late)))
+	require.Empty(t, q.Expire(late))
+	_, _ = q.Push(item("idle", "a", 0, 100), late)
+	require.Equal(t, []string{"idle"}, ids(q.Expire(late.Add(time.Hour))))
+	require.Zero(t, q.Len())
+}
+
+// Guards against Drain returning ticketed requests, and against a floor that
+// reaches its own tier or another model.
+func TestDrainAndFloor(t *testing.T) {
+	q := queue.New[int](queue.Limits{Requests: 9, Prefill: 1 << 20})
+	kept := item("kept", "a", 2, 1)
+	kept.Ticketed = true
+	other := item("other", "a", 2, 1)
+	other.Request.Model = "n"
+	for _, it := range []queue.Item[int]{item("0", "a", 0, 1), item("1", "a", 1, 1), kept, other, item("2", "b", 2, 1)} {
+		_, refusal := q.Push(it, epoch)
+		require.Nil(t, refusal)
+	}
+	require.Equal(t, 2, q.Lowest())
+	require.Equal(t, []string{"2", "kept"}, ids(q.Floor("m", 1)))
+	_, _ = q.Push(kept, epoch)
+	require.Equal(t, []string{"other", "1", "0"}, ids(q.Drain()))
+	require.Equal(t, 1, q.Len())
+	_, ok := q.Remove("kept")
+	require.True(t, ok)
+	require.Equal(t, -1, q.Lowest())
+}
+
+// Guards against the structures of the queue disagreeing after any sequence of
+// operations: counts, totals, tier order, and shedding a higher tier while a
+// lower one waits.
+func TestQueueAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := queue.New[int](queue.Limits{Requests: 8, Prefill: 1000})
+		model := map[string]queue.Item[int]{}
+		now, serial := epoch, 0
+		drop := func(items []queue.Item[int]) {
+			for _, it := range items {
+				if _, found := model[it.ID]; !found {
+					t.Fatalf("%q came back without waiting", it.ID)
+				}
+				delete(model, it.ID)
+			}
+		}
+		lowest := func() int {
+			res := -1
+			for _, it := range model {
+				res = max(res, it.Request.Tier)
+			}
+			return res
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				serial++
+				it := item(strconv.Itoa(serial), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org"),
+					rapid.IntRange(0, 2).Draw(t, "tier"), rapid.IntRange(1, 400).Draw(t, "prefill"))
+				it.Request.Deadline = time.Duration(rapid.IntRange(1, 60).Draw(t, "deadline")) * time.Second
+				it.Ticketed = rapid.Bool().Draw(t, "ticketed")
+				below := 0
+				for _, w := range model {
+					if w.Request.Tier > it.Request.Tier {
+						below++
+					}
+				}
+				evicted, refusal := q.Push(it, now)
+				drop(evicted)
+				for _, e := range evicted {
+					require.Greater(t, e.Request.Tier, it.Request.Tier)
+					require.GreaterOrEqual(t, e.Request.Tier, lowest())
+				}
+				if refusal == nil {
+					model[it.ID] = it
+				} else if below == len(model) {
+					t.Fatalf("refused although everything waiting is lower: %v", refusal)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				if it, ok := q.Pop(now); ok {
+					drop([]queue.Item[int]{it})
+					drop(q.Expire(now))
+					for _, w := range model {
+						require.GreaterOrEqual(t, w.Request.Tier, it.Request.Tier)
+					}
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "wait")) * time.Second)
+				drop(q.Expire(now))
+			},
+			"remove": func(t *rapid.T) {
+				if it, ok := q.Remove(strconv.Itoa(rapid.IntRange(0, serial).Draw(t, "id"))); ok {
+					drop([]queue.Item[int]{it})
+				}
+			},
+			"floor": func(t *rapid.T) { drop(q.Floor("m", rapid.IntRange(0, 2).Draw(t, "floor"))) },
+			"drain": func(*rapid.T) { drop(q.Drain()) },
+			"": func(t *rapid.T) {
+				drop(q.Expire(now))
+				sum := 0
+				for _, it := range model {
+					sum += it.Request.Cost.Prefill
+				}
+				require.Equal(t, len(model), q.Len())
+				require.Equal(t, sum, q.Work().Prefill)
+				require.Equal(t, lowest(), q.Lowest())
+			},
+		})
+	})
+}
+
+// BenchmarkPushPop measures one push and one pop with 10,000 waiting.
+func BenchmarkPushPop(b *testing.B) {
+	q := queue.New[int](queue.Limits{Requests: 20000, Prefill: 1 << 40})
+	q.SetRates(queue.Rates{Prefill: 1e9, Decode: 1e9, Token: time.Nanosecond})
+	push := func(i int) {
+		it := item(strconv.Itoa(i), strconv.Itoa(i%50), i%3, 20+i*7919%20000)
+		it.Request.Deadline += time.Duration(i*7919%60000) * time.Millisecond
+		if _, refusal := q.Push(it, epoch); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+	for i := range 10000 {
+		push(i)
+	}
+	b.ReportAllocs()
+	for i := 10000; b.Loop(); i++ {
+		push(i)
+		if _, ok := q.Pop(epoch); !ok {
+			b.Fatal("queue is empty")
+		}
+	}
+}
--- /dev/null
+++ b/queue/tier.go
@@ -0,0 +1,153 @@
+package queue
+
+import "damasktrail.dev"
+
+// decodeWeight is the cost of a generated token in prefill tokens. An engine
+// processes a prompt in parallel and an answer token by token.
+const decodeWeight = 4
+
+// weight returns the cost that organisations are charged for a request.
+func weight(c damasktrail.Cost) float64 {
+	return float64(max(1, c.Prefill+decodeWeight*c.Decode))
+}
+
+// insert appends a node to the tier and to the flow of its organisation.
+func (t *tier[T]) insert(n *node[T], share float64) {
+	r := &n.item.Request
+	f := t.flows[r.Organisation]
+	if f == nil {
+		f = &flow[T]{organisation: r.Organisation, share: share}
+		t.flows[r.Organisation] = f
+		t.join(f)
+	}
+	n.flow = f
+	n.inFlow.prev = f.last
+	if f.last != nil {
+		f.last.inFlow.next = n
+	} else {
+		f.first = n
+	}
+	f.last = n
+	n.inTier.prev = t.last
+	if t.last != nil {
+		t.last.inTier.next = n
+	}
+	t.last = n
+	t.count++
+	t.work.Prefill += r.Cost.Prefill
+	t.work.Decode += r.Cost.Decode
+	f.work.Prefill += r.Cost.Prefill
+	f.work.Decode += r.Cost.Decode
+}
+
+// remove takes a node out of the tier. A flow that becomes empty leaves and
+// loses its credit, so that idle organisations save nothing.
+func (t *tier[T]) remove(n *node[T]) {
+	r, f := &n.item.Request, n.flow
+	if n.inFlow.prev != nil {
+		n.inFlow.prev.inFlow.next = n.inFlow.next
+	} else {
+		f.first = n.inFlow.next
+	}
+	if n.inFlow.next != nil {
+		n.inFlow.next.inFlow.prev = n.inFlow.prev
+	} else {
+		f.last = n.inFlow.prev
+	}
+	if n.inTier.prev != nil {
+		n.inTier.prev.inTier.next = n.inTier.next
+	}
+	if n.inTier.next != nil {
+		n.inTier.next.inTier.prev = n.inTier.prev
+	} else {
+		t.last = n.inTier.prev
+	}
+	t.count--
+	t.work.Prefill -= r.Cost.Prefill
+	t.work.Decode -= r.Cost.Decode
+	f.work.Prefill -= r.Cost.Prefill
+	f.work.Decode -= r.Cost.Decode
+	if f.first == nil {
+		t.leave(f)
+	}
+}
+
+// join puts a flow at the end of the ring.
+func (t *tier[T]) join(f *flow[T]) {
+	t.active++
+	t.shares += f.share
+	if t.current == nil {
+		f.prev, f.next = f, f
+		t.current = f
+		return
+	}
+	f.prev, f.next = t.current.prev, t.current
+	f.prev.next, f.next.prev = f, f
+}
+
+// leave takes a flow out of the ring.
+func (t *tier[T]) leave(f *flow[T]) {
+	delete(t.flows, f.organisation)
+	t.active--
+	t.shares -= f.share
+	if t.active == 0 {
+		t.current = nil
+		t.shares = 0
+		return
+	}
+	f.prev.next, f.next.prev = f.next, f.prev
+	if t.current == f {
+		t.current = f.next
+	}
+}
+
+// next returns the node whose turn it is. The tier must not be empty. Each
+// round grants quantum tokens per flow on average, so the number of visits is
+// bounded by the tokens served, whatever the shares are.
+func (t *tier[T]) next() *node[T] {
+	for {
+		f := t.current
+		if !f.visited {
+			f.visited = true
+			f.deficit += quantum * f.share * float64(t.active) / t.shares
+		}
+		if f.deficit >= weight(f.first.item.Request.Cost) {
+			return f.first
+		}
+		f.visited = false
+		t.current = f.next
+	}
+}
+
+// latestHeap orders nodes by the latest dispatch that meets their deadline. It
+// implements heap.Interface.
+type latestHeap[T any] []*node[T]
+
+// Len implements heap.Interface.
+func (h latestHeap[T]) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h latestHeap[T]) Less(i, j int) bool { return h[i].latest.Before(h[j].latest) }
+
+// Swap implements heap.Interface.
+func (h latestHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *latestHeap[T]) Push(x any) {
+	n := x.(*node[T])
+	n.index = len(*h)
+	*h = append(*h, n)
+}
+
+// Pop implements heap.Interface.
+func (h *latestHeap[T]) Pop() any {
+	old := *h
+	last := len(old) - 1
+	n := old[last]
+	old[last] = nil
+	*h = old[:last]
+	return n
+}
