--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,340 @@
+package agent
+
+import (
+	"maps"
+	"time"
+
+	"damasktrail.dev"
+	"damasktrail.dev/document"
+	"damasktrail.dev/frame"
+	"damasktrail.dev/queue"
+	"damasktrail.dev/suspect"
+	"damasktrail.dev/ticket"
+)
+
+const (
+	// leaveGrace is how long a leaving agent still accepts tickets that it
+	// issued before; the promise is that new work ends within a few seconds.
+	leaveGrace = 3 * time.Second
+	// retryLeaving is the advice to callers of a leaving or unready endpoint:
+	// another entry or a new agent can answer at once.
+	retryLeaving = 200 * time.Millisecond
+)
+
+// work is a request that an agent has admitted or may admit.
+type work struct {
+	// id is the attempt's, or the ticket for a request with one.
+	id      string
+	request damasktrail.Request
+	// ticket is empty for an idempotent request.
+	ticket string
+	// start and refuse are called by the control goroutine; exactly one of them,
+	// once, and neither blocks.
+	start  func()
+	refuse func(*damasktrail.Refusal)
+}
+
+// control is the state that decides what the endpoint runs. It has one owner,
+// knows no socket and no clock, and is told the time.
+type control struct {
+	waiting *queue.Queue[*work]
+	// held are suspects that wait until no other suspect runs, oldest first.
+	held []*heldWork
+	// running maps the ids of dispatched requests; at most limit of them,
+	// unless the limit fell.
+	running  map[string]*work
+	limit    int
+	ledger   *ticket.Ledger
+	suspects *suspect.List
+	// crash identifies the next crash of the endpoint.
+	crash uint64
+	// healthy is false from a failed health check until one succeeds.
+	healthy bool
+	// left is when the agent began to leave; zero before.
+	left time.Time
+	// crashed counts runs that ended in a crash, for the log.
+	crashed int
+}
+
+type heldWork struct {
+	*work
+	deadline time.Time
+}
+
+func newControl(limits queue.Limits, limit int, ledger *ticket.Ledger, crash uint64) *control {
+	return &control{
+		waiting:  queue.New[*work](limits),
+		running:  map[string]*work{},
+		limit:    limit,
+		ledger:   ledger,
+		suspects: suspect.New(),
+		crash:    crash,
+	}
+}
+
+// arrive admits a request that may wait, or refuses it.
+func (c *control) arrive(w *work, floor int, now time.Time) {
+	if refusal := c.admissible(w, floor, now); refusal != nil {
+		c.refuse(w, refusal, now)
+		return
+	}
+	if c.suspects.Crashes(w.request.Fingerprint, now) > 0 {
+		c.held = append(c.held, &heldWork{work: w, deadline: now.Add(w.request.Deadline)})
+		c.dispatch(now)
+		return
+	}
+	evicted, refusal := c.waiting.Push(queue.Item[*work]{
+		ID:       w.id,
+		Request:  w.request,
+		Ticketed: w.ticket != "",
+		Value:    w,
+	}, now)
+	for _, it := range evicted {
+		c.refuse(it.Value, full("a request of a higher tier took the place"), now)
+	}
+	if refusal != nil {
+		c.refuse(w, refusal, now)
+		return
+	}
+	c.dispatch(now)
+}
+
+// admissible returns the refusal of a request that must not wait, or nil.
+func (c *control) admissible(w *work, floor int, now time.Time) *damasktrail.Refusal {
+	r := w.request
+	switch {
+	case c.closed(w.ticket != "", now):
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonLeaving, Outcome: damasktrail.NotRun,
+			RetryAfter: retryLeaving, Detail: "the endpoint is leaving",
+		}
+	case !c.healthy:
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonNotReady, Outcome: damasktrail.NotRun,
+			RetryAfter: retryLeaving, Detail: "the endpoint does not answer health checks",
+		}
+	case c.suspects.Crashes(r.Fingerprint, now) >= suspect.Poisoned:
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonPoisoned, Outcome: damasktrail.NotRun,
+			Detail: "this request has crashed endpoints",
+		}
+	}
+	if floor >= 0 {
+		for _, it := range c.waiting.Floor(r.Model, floor) {
+			c.refuse(it.Value, belowFloor(), now)
+		}
+		if r.Tier > floor {
+			return belowFloor()
+		}
+	}
+	return nil
+}
+
+// closed reports whether the agent takes no more work of the kind.
+func (c *control) closed(ticketed bool, now time.Time) bool {
+	if c.left.IsZero() {
+		return false
+	}
+	return !ticketed || now.Sub(c.left) >= leaveGrace
+}
+
+func full(detail string) *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonFull, Outcome: damasktrail.NotRun,
+		RetryAfter: time.Second, Detail: detail,
+	}
+}
+
+func belowFloor() *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonFloor, Outcome: damasktrail.NotRun,
+		RetryAfter: 5 * time.Second, Detail: "only higher tiers are admitted for the model",
+	}
+}
+
+// refuse ends a request that was not dispatched. A ticket is burned first, so
+// that a late copy of the request cannot run after its caller was told.
+func (c *control) refuse(w *work, r *damasktrail.Refusal, now time.Time) {
+	if w.ticket != "" && !c.ledger.Burn(w.ticket, r, now) {
+		r = r.WithOutcome(damasktrail.Unknown)
+	}
+	w.refuse(r)
+}
+
+// dispatch starts waiting requests while there is room inside the endpoint.
+func (c *control) dispatch(now time.Time) {
+	for c.healthy && len(c.running) < c.limit {
+		w := c.next(now)
+		if w == nil {
+			return
+		}
+		if w.ticket != "" && !c.ledger.Dispatch(w.ticket) {
+			w.refuse(&damasktrail.Refusal{
+				Reason: damasktrail.ReasonDuplicate, Outcome: damasktrail.Unknown,
+				Detail: "the ticket was used before",
+			})
+			continue
+		}
+		c.running[w.id] = w
+		w.start()
+	}
+}
+
+// next returns the request to dispatch, or nil. Suspects run one at a time, so
+// that a second crash names its cause.
+func (c *control) next(now time.Time) *work {
+	if len(c.held) > 0 && !c.suspectRunning(now) {
+		w := c.held[0].work
+		c.held = c.held[1:]
+		return w
+	}
+	for {
+		it, ok := c.waiting.Pop(now)
+		if !ok {
+			return nil
+		}
+		w := it.Value
+		crashes := c.suspects.Crashes(w.request.Fingerprint, now)
+		switch {
+		case crashes >= suspect.Poisoned:
+			c.refuse(w, c.admissible(w, -1, now), now)
+		case crashes > 0 && c.suspectRunning(now):
+			c.held = append(c.held, &heldWork{work: w, deadline: now.Add(w.request.Deadline)})
+		default:
+			return w
+		}
+	}
+}
+
+func (c *control) suspectRunning(now time.Time) bool {
+	for w := range maps.Values(c.running) {
+		if c.suspects.Crashes(w.request.Fingerprint, now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// finish removes a dispatched request that has ended in any way.
+func (c *control) finish(id string, now time.Time) {
+	delete(c.running, id)
+	c.dispatch(now)
+}
+
+// crashedWith records that the endpoint crashed while it ran the request. It
+// returns the news for the entries.
+func (c *control) crashedWith(w *work, now time.Time) []frame.Suspect {
+	c.crashed++
+	c.healthy = false
+	if !c.suspects.Add(w.request.Fingerprint, c.crash, now) {
+		return nil
+	}
+	return []frame.Suspect{{Fingerprint: w.request.Fingerprint, Crashes: []uint64{c.crash}}}
+}
+
+// health takes the result of a health check.
+func (c *control) health(ok bool, now time.Time) {
+	if ok && !c.healthy {
+		c.crash++
+	}
+	c.healthy = ok
+	if ok {
+		c.dispatch(now)
+	}
+}
+
+// cancel removes a request that waits; a dispatched one is ended by its runner.
+func (c *control) cancel(id string, now time.Time) {
+	r := &damasktrail.Refusal{
+		Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.NotRun,
+		Detail: "the entry cancelled the request",
+	}
+	if it, found := c.waiting.Remove(id); found {
+		c.refuse(it.Value, r, now)
+		return
+	}
+	for i, w := range c.held {
+		if w.id == id {
+			c.held = append(c.held[:i:i], c.held[i+1:]...)
+			c.refuse(w.work, r, now)
+			return
+		}
+	}
+}
+
+// expire refuses what can no longer be answered in time.
+func (c *control) expire(now time.Time) {
+	late := &damasktrail.Refusal{
+		Reason: damasktrail.ReasonDeadline, Outcome: damasktrail.NotRun,
+		RetryAfter: time.Second, Detail: "the deadline passed or cannot be met",
+	}
+	for _, it := range c.waiting.Expire(now) {
+		c.refuse(it.Value, late, now)
+	}
+	kept := c.held[:0]
+	for _, w := range c.held {
+		if now.Before(w.deadline) {
+			kept = append(kept, w)
+			continue
+		}
+		c.refuse(w.work, late, now)
+	}
+	c.held = kept
+	c.suspects.Expire(now)
+}
+
+// leave begins the drain. Waiting requests without a ticket go back to their
+// entries; those with one can only run here and stay.
+func (c *control) leave(now time.Time) {
+	if !c.left.IsZero() {
+		return
+	}
+	c.left = now
+	for _, it := range c.waiting.Drain() {
+		c.refuse(it.Value, c.admissible(it.Value, -1, now), now)
+	}
+	kept := c.held[:0]
+	for _, w := range c.held {
+		if w.ticket != "" {
+			kept = append(kept, w)
+			continue
+		}
+		c.refuse(w.work, c.admissible(w.work, -1, now), now)
+	}
+	c.held = kept
+}
+
+// drained reports whether a leaving agent has nothing left to run.
+func (c *control) drained(now time.Time) bool {
+	return c.closed(true, now) && len(c.running) == 0 && c.waiting.Len() == 0 && len(c.held) == 0
+}
+
+// adopt takes the shares of a new document.
+func (c *control) adopt(d *document.Document) {
+	shares := make(map[string]float64, len(d.Organisations))
+	for _, o := range d.Organisations {
+		shares[o.Name] = float64(o.Share)
+	}
+	c.waiting.SetShares(shares)
+}
+
+// load returns what the agent reports of itself.
+func (c *control) load() damasktrail.Load {
+	cost := c.waiting.Work()
+	for _, w := range c.running {
+		cost.Prefill += w.request.Cost.Prefill
+		cost.Decode += w.request.Cost.Decode
+	}
+	res := damasktrail.Load{
+		Running: len(c.running),
+		Waiting: c.waiting.Len() + len(c.held),
+		Prefill: cost.Prefill,
+		Decode:  cost.Decode,
+		Lowest:  c.waiting.Lowest(),
+		Limit:   c.limit,
+	}
+	if !c.healthy {
+		res.Limit = 0
+	}
+	return res
+}
--- a/errors.go
+++ b/errors.go
@@ -20,3 +20,19 @@
 func (e *OldFenceError) Error() string {
 	return fmt.Sprintf("endpoint refused fence %d, it holds %d", e.Sent, e.Held)
 }
+
+// CrashedError says that the endpoint crashed while it ran a call.
+type CrashedError struct {
+	// Err is what the connection reported.
+	Err error
+}
+
+// Error implements error.
+func (e *CrashedError) Error() string {
+	return fmt.Sprintf("endpoint crashed: %v", e.Err)
+}
+
+// Unwrap returns the connection's error.
+func (e *CrashedError) Unwrap() error {
+	return e.Err
+}
--- a/frame/message.go
+++ b/frame/message.go
@@ -83,13 +83,18 @@
 	// Incarnation is random and differs at each start of a process.
 	Incarnation string `cbor:"incarnation"`
 	Generation  uint64 `cbor:"generation"`
+	// Members is the version of the VM list; zero at an agent.
+	Members uint64 `cbor:"members"`
 }
 
 // Suspect is a request that was inside an endpoint when it crashed.
 type Suspect struct {
 	Fingerprint uint64 `cbor:"fingerprint"`
-	// Crashes counts the endpoints that crashed with it inside.
-	Crashes int `cbor:"crashes"`
+	// Crashes identifies each crash; processes merge them as a set, so that a
+	// crash that is reported over several ways counts once.
+	Crashes []uint64 `cbor:"crashes"`
+	// Age is the time since the latest crash in milliseconds.
+	Age int64 `cbor:"age"`
 }
 
 // Floor is the lowest tier rank admitted for a model.
@@ -100,8 +105,10 @@
 
 // Beat is a heartbeat on a control stream.
 type Beat struct {
-	Generation uint64           `cbor:"generation"`
-	Load       damasktrail.Load `cbor:"load"`
+	Generation uint64 `cbor:"generation"`
+	// Members is the version of the VM list; zero at an agent.
+	Members uint64           `cbor:"members"`
+	Load    damasktrail.Load `cbor:"load"`
 	// Age is the time since the freshest contact with the platform that the
 	// sender knows of, in milliseconds.
 	Age      int64     `cbor:"age"`
@@ -110,25 +117,35 @@
 	Leaving  bool      `cbor:"leaving,omitempty"`
 }
 
-// Pull asks for the changes after a generation.
+// Topic names one of the two published values.
+type Topic string
+
+// The topics.
+const (
+	TopicDocument Topic = "document"
+	TopicVMs      Topic = "vms"
+)
+
+// Pull asks for what follows a version of a value.
 type Pull struct {
-	From uint64 `cbor:"from"`
+	Topic Topic  `cbor:"topic"`
+	From  uint64 `cbor:"from"`
 }
 
 // Change carries a difference between two documents.
 type Change struct {
 	From uint64 `cbor:"from"`
 	To   uint64 `cbor:"to"`
-	// Difference is encoded by package document.
+	// Difference is encoded by package document and holds the digest of the
+	// resulting document.
 	Difference []byte `cbor:"difference"`
-	// Digest is that of the resulting document.
-	Digest []byte `cbor:"digest"`
 }
 
-// Whole carries a whole document.
+// Whole carries a whole value.
 type Whole struct {
-	Generation uint64 `cbor:"generation"`
-	Document   []byte `cbor:"document"`
+	Topic Topic `cbor:"topic"`
+	// Data is the value as the platform published it.
+	Data []byte `cbor:"data"`
 }
 
 // Issue asks an agent for a ticket.
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,126 @@
+// Package telemetry makes the metrics and the logger of a process. Metrics are
+// kept by OpenTelemetry and shown on a Prometheus page. Start from [New].
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"damasktrail.dev"
+)
+
+// Metrics holds the instruments of one process. It is safe for use by several
+// goroutines.
+type Metrics struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+	refusals metric.Int64Counter
+	retries  metric.Int64Counter
+
+	mu       sync.Mutex
+	counters map[string]metric.Int64Counter
+	// options holds the attribute sets of refusals that were seen, so that
+	// counting one allocates nothing after the first.
+	options map[refusalKey]metric.MeasurementOption
+}
+
+type refusalKey struct {
+	reason  damasktrail.Reason
+	outcome damasktrail.Outcome
+	tier    string
+}
+
+// New returns the metrics of the named part, such as entry.
+func New(part string) (res *Metrics, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("set up metrics of %s: %w", part, err)
+		}
+	}()
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
+	if err != nil {
+		return nil, err
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("damasktrail.dev/" + part)
+	refusals, err := meter.Int64Counter("damasktrail_refusals", metric.WithDescription("Requests refused, by reason, outcome and tier."))
+	if err != nil {
+		return nil, err
+	}
+	retries, err := meter.Int64Counter("damasktrail_retries", metric.WithDescription("Attempts after the first, by the reason of the one before."))
+	if err != nil {
+		return nil, err
+	}
+	return &Metrics{
+		registry: registry,
+		meter:    meter,
+		refusals: refusals,
+		retries:  retries,
+		counters: map[string]metric.Int64Counter{},
+		options:  map[refusalKey]metric.MeasurementOption{},
+	}, nil
+}
+
+// Handler serves the Prometheus page.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Refused counts a refusal. The tier is a name from the document, or empty.
+func (m *Metrics) Refused(r *damasktrail.Refusal, tier string) {
+	key := refusalKey{reason: r.Reason, outcome: r.Outcome, tier: tier}
+	m.mu.Lock()
+	option, found := m.options[key]
+	if !found {
+		option = metric.WithAttributeSet(attribute.NewSet(
+			attribute.String("reason", string(key.reason)),
+			attribute.String("outcome", string(key.outcome)),
+			attribute.String("tier", key.tier),
+		))
+		m.options[key] = option
+	}
+	m.mu.Unlock()
+	m.refusals.Add(context.Background(), 1, option)
+}
+
+// Retried counts an attempt that follows one that ended with reason.
+func (m *Metrics) Retried(reason damasktrail.Reason) {
+	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
+}
+
+// Count adds n to the counter damasktrail_NAME, which has no attributes.
+func (m *Metrics) Count(name string, n int64) {
+	m.mu.Lock()
+	c, found := m.counters[name]
+	if !found {
+		var err error
+		c, err = m.meter.Int64Counter("damasktrail_" + name)
+		if err != nil {
+			m.mu.Unlock()
+			return // Only a malformed name is refused; tests of callers show it.
+		}
+		m.counters[name] = c
+	}
+	m.mu.Unlock()
+	c.Add(context.Background(), n)
+}
+
+// Gauge shows the result of f as damasktrail_NAME at each read of the page.
+func (m *Metrics) Gauge(name, description string, f func() float64) (err error) {
+	_, err = m.meter.Float64ObservableGauge("damasktrail_"+name,
+		metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(f())
+			return nil
+		}))
+	return err
+}
