--- /dev/null
+++ b/document/validate.go
@@ -0,0 +1,242 @@
+package document
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+	"unicode"
+
+	"damasktrail.dev/set"
+)
+
+// Limits that no sensible document reaches; they catch a wrong unit or a
+// misplaced digit.
+const (
+	maxName     = 128
+	maxDeadline = 24 * time.Hour
+	maxContext  = 100_000_000
+	maxShare    = 1_000_000
+	maxRate     = 1_000_000
+	maxInflight = 1_000_000
+)
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut,
+	http.MethodDelete, http.MethodPatch, http.MethodPost,
+}
+
+// validator checks one document.
+type validator struct {
+	*problems
+	document *Document
+	tiers    set.Set[string]
+	models   map[string]Model
+	sets     map[string]Set
+}
+
+// validate checks everything but the syntax.
+func (d *Document) validate(p *problems) {
+	v := &validator{problems: p, document: d}
+	if d.Generation == 0 {
+		v.add((*location)(nil).at("generation"), "must be at least 1")
+	}
+	policies := []string{PolicyRound, PolicyLeast, PolicyChoices, PolicyCost}
+	v.choice((*location)(nil).at("policy"), d.Policy, policies)
+	v.checkDomains()
+	v.checkTiers()
+	v.checkModels()
+	v.checkSets()
+	v.checkServices()
+	v.checkOrganisations()
+}
+
+func (v *validator) choice(l *location, value string, choices []string) {
+	if !slices.Contains(choices, value) {
+		v.add(l, "%q is not one of %s", value, strings.Join(choices, ", "))
+	}
+}
+
+// label checks the form of a name.
+func (v *validator) label(l *location, name string) {
+	switch {
+	case name == "":
+		v.add(l, "must not be empty")
+	case len(name) > maxName:
+		v.add(l, "has %d bytes, the limit is %d", len(name), maxName)
+	case strings.TrimSpace(name) != name || strings.ContainsFunc(name, unprintable):
+		v.add(l, "%q has a control character or a space at its end", name)
+	}
+}
+
+func unprintable(r rune) bool { return !unicode.IsPrint(r) }
+
+func (v *validator) labels(l *location, names []string) {
+	seen := make(set.Set[string], len(names))
+	for i, n := range names {
+		v.label(l.element(i), n)
+		if !seen.Add(n) {
+			v.add(l.element(i), "%q is given twice", n)
+		}
+	}
+}
+
+func (v *validator) bounds(l *location, value, low, high int) {
+	if value < low || value > high {
+		v.add(l, "%d is not between %d and %d", value, low, high)
+	}
+}
+
+// unique checks the names of a section and calls f for each item.
+func unique[T item](v *validator, section, kind string, values []T, f func(l *location, value T)) {
+	first := make(map[string]int, len(values))
+	root := (*location)(nil).at(section)
+	for i, value := range values {
+		l := root.element(i)
+		v.label(l.at("name"), value.key())
+		if j, found := first[value.key()]; found {
+			v.add(l.at("name"), "%s %q already exists as %s", kind, value.key(), root.element(j))
+		} else {
+			first[value.key()] = i
+		}
+		f(l, value)
+	}
+}
+
+func (v *validator) checkDomains() {
+	unique(v, "domains", "failure domain", v.document.Domains, func(l *location, d Domain) {
+		v.label(l.at("region"), d.Region)
+	})
+}
+
+func (v *validator) checkTiers() {
+	tiers := v.document.Tiers
+	root := (*location)(nil).at("tiers")
+	if len(tiers) == 0 {
+		v.add(root, "at least one tier is needed")
+	}
+	if len(tiers) > MaxTiers {
+		v.add(root, "%d tiers exceed the limit of %d", len(tiers), MaxTiers)
+	}
+	v.tiers = set.Set[string]{}
+	ranks := map[int]string{}
+	unique(v, "tiers", "tier", tiers, func(l *location, t Tier) {
+		v.tiers.Add(t.Name)
+		v.bounds(l.at("rank"), t.Rank, 0, len(tiers)-1)
+		if other, found := ranks[t.Rank]; found {
+			v.add(l.at("rank"), "rank %d is that of tier %q", t.Rank, other)
+		}
+		ranks[t.Rank] = t.Name
+		if t.Deadline <= 0 || t.Deadline > maxDeadline {
+			v.add(l.at("deadline"), "%s is not above zero and at most %s", t.Deadline, maxDeadline)
+		}
+	})
+}
+
+func (v *validator) checkModels() {
+	v.models = make(map[string]Model, len(v.document.Models))
+	unique(v, "models", "model", v.document.Models, func(l *location, m Model) {
+		v.models[m.Name] = m
+		v.bounds(l.at("context"), m.Context, 1, maxContext)
+		v.labels(l.at("adapters"), m.Adapters)
+		v.labels(l.at("versions"), m.Versions)
+	})
+}
+
+func (v *validator) checkSets() {
+	v.sets = make(map[string]Set, len(v.document.Sets))
+	unique(v, "sets", "set", v.document.Sets, func(l *location, s Set) {
+		v.sets[s.Name] = s
+		switch s.Kind {
+		case KindEngine:
+			v.checkEngine(l, s)
+		case KindService:
+			if s.Model != "" || len(s.Adapters) > 0 || s.Version != "" || s.Role != "" || s.Fencing {
+				v.add(l, "a set of kind service has no model, adapters, version, role or fencing")
+			}
+			if _, found := v.models[s.Name]; found {
+				v.add(l.at("name"), "%q is also the name of a model", s.Name)
+			}
+		default:
+			v.choice(l.at("kind"), s.Kind, []string{KindEngine, KindService})
+		}
+	})
+}
+
+func (v *validator) checkEngine(l *location, s Set) {
+	v.choice(l.at("role"), s.Role, []string{RoleBoth, RolePrefill, RoleDecode})
+	v.labels(l.at("adapters"), s.Adapters)
+	m, found := v.models[s.Model]
+	if !found {
+		v.add(l.at("model"), "model %q does not exist", s.Model)
+		return
+	}
+	for i, a := range s.Adapters {
+		if !slices.Contains(m.Adapters, a) {
+			v.add(l.at("adapters").element(i), "model %q has no adapter %q", s.Model, a)
+		}
+	}
+	if !slices.Contains(m.Versions, s.Version) && (s.Version != "" || len(m.Versions) > 0) {
+		v.add(l.at("version"), "model %q has no version %q", s.Model, s.Version)
+	}
+}
+
+func (v *validator) checkServices() {
+	unique(v, "services", "service", v.document.Services, func(l *location, s Service) {
+		// The name is one segment of the callers' path.
+		if strings.ContainsFunc(s.Name, notSegment) {
+			v.add(l.at("name"), "%q has a character other than letters, digits, '.', '_' and '-'", s.Name)
+		}
+		// Floors and counters name the target of a request, model or service.
+		if _, found := v.models[s.Name]; found {
+			v.add(l.at("name"), "%q is also the name of a model", s.Name)
+		}
+		switch target, found := v.sets[s.Set]; {
+		case !found:
+			v.add(l.at("set"), "set %q does not exist", s.Set)
+		case target.Kind != KindService:
+			v.add(l.at("set"), "set %q is not of kind service", s.Set)
+		}
+		v.labels(l.at("idempotent"), s.Idempotent)
+		for i, m := range s.Idempotent {
+			v.choice(l.at("idempotent").element(i), m, methods)
+		}
+	})
+}
+
+func notSegment(r rune) bool {
+	return !strings.ContainsRune("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-", r)
+}
+
+func (v *validator) checkOrganisations() {
+	owners := make(map[[sha256.Size]byte]string, len(v.document.Organisations))
+	unique(v, "organisations", "organisation", v.document.Organisations, func(l *location, o Organisation) {
+		for i, k := range o.Keys {
+			sum, ok := parseKey(k)
+			if !ok {
+				v.add(l.at("keys").element(i), `must be "sha256:" and 64 digits in lower-case hex`)
+				continue
+			}
+			if owner, found := owners[sum]; found {
+				v.add(l.at("keys").element(i), "key already belongs to organisation %q", owner)
+			}
+			owners[sum] = o.Name
+		}
+		if len(o.Tiers) == 0 {
+			v.add(l.at("tiers"), "at least one tier is needed")
+		}
+		v.labels(l.at("tiers"), o.Tiers)
+		for i, t := range o.Tiers {
+			if !v.tiers.Has(t) {
+				v.add(l.at("tiers").element(i), "tier %q does not exist", t)
+			}
+		}
+		v.bounds(l.at("share"), o.Share, 1, maxShare)
+		v.bounds(l.at("inflight"), o.Inflight, 1, maxInflight)
+		// The negated form also refuses NaN, which a difference could carry.
+		if !(o.Rate > 0 && o.Rate <= maxRate) {
+			v.add(l.at("rate"), "%v requests/s is not above 0 and at most %d", o.Rate, maxRate)
+		}
+	})
+}
