Add the endpoint stand-in

The engine client and the agent need an endpoint to be tested against that batches continuously, caches prefixes, resumes streams and fails on demand.

--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,6 @@
+// Package standin holds small stand-ins for the systems that damasktrail talks
+// to, for tests, benchmarks and demonstrations: a model endpoint or plain service
+// (start from [NewEndpoint]) and the platform's configuration service. They speak
+// the protocols of the design page and have a second handler for tests, which
+// injects faults and reports what was received. They are no part of the product.
+package standin
