--- a/standin/endpoint_control.go
+++ b/standin/endpoint_control.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"maps"
 	"net/http"
 )
 
@@ -50,6 +51,8 @@
 type RunReport struct {
 	// Runs lists the requests in the order in which they started.
 	Runs []Run `json:"runs"`
+	// Counts is the number of runs by digest.
+	Counts map[string]int `json:"counts"`
 	// Prefilled counts the prompt tokens processed, Wasted those of them whose
 	// answer was cancelled before its end.
 	Prefilled int `json:"prefilled"`
@@ -99,6 +102,7 @@
 	defer e.mu.Unlock()
 	res := e.report
 	res.Runs = append([]Run{}, e.report.Runs...)
+	res.Counts = maps.Clone(e.counts)
 	return res
 }
 
