--- a/agent/agent.go
+++ b/agent/agent.go
@@ -68,8 +68,6 @@
 	issuer     *ticket.Issuer
 	entries    map[*entryLink]struct{}
 	recordings map[string]*recording
-
-
 }
 
 // New binds the agent's address, which fails while another agent of the VM
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -222,7 +222,6 @@
 
 // failure turns an error of the endpoint into a refusal.
 func (a *Agent) failure(ctx context.Context, w *work, err error) *damasktrail.Refusal {
-	var crash *damasktrail.CrashedError
 	switch {
 	case errors.Is(err, damasktrail.ErrNotDispatched):
 		return &damasktrail.Refusal{
@@ -231,7 +230,7 @@
 		}
 	case ctx.Err() != nil:
 		return cancelled()
-	case errors.As(err, &crash):
+	case errors.Is(err, damasktrail.ErrCrashed):
 		a.log.Warn("endpoint crashed", "fingerprint", w.request.Fingerprint, "error", err)
 		a.reportCrash(w)
 		return &damasktrail.Refusal{
@@ -355,7 +354,7 @@
 		select {
 		case <-on.started:
 		case r := <-on.refused:
-			a.finishRecorded(open.Ticket, rec, func(*control) {}, r)
+			a.finishRecorded(open.Ticket, rec, func(*control) {}, damasktrail.Usage{}, r)
 			return
 		case <-ctx.Done():
 			return
@@ -366,19 +365,17 @@
 				c.ledger.Fail(open.Ticket, refusal)
 				return
 			}
-			rec.usage = usage
-			c.ledger.Finish(open.Ticket, rec.answer())
-		}, refusal)
+			c.ledger.Finish(open.Ticket, rec.answer(usage))
+		}, usage, refusal)
 	})
 	c.arrive(w, open.Floor, now)
 }
 
 // finishRecorded records the end in the ledger before any caller sees it.
-func (a *Agent) finishRecorded(id string, rec *recording, settle func(c *control), refusal *damasktrail.Refusal) {
+func (a *Agent) finishRecorded(id string, rec *recording, settle func(c *control), usage damasktrail.Usage, refusal *damasktrail.Refusal) {
 	a.post(func(c *control, _ time.Time) {
 		settle(c)
 		delete(a.recordings, id)
-		rec.finish(refusal)
+		rec.finish(usage, refusal)
 	})
 }
-
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -151,6 +151,9 @@
 			a.Leave()
 		}
 		a.post(func(c *control, now time.Time) {
+			if b.Reply {
+				a.beat(e, c, now)
+			}
 			c.suspects.Merge(b.Suspects, now)
 			for _, f := range b.Floors {
 				for _, it := range c.waiting.Floor(f.Model, f.Tier) {
--- a/agent/recording.go
+++ b/agent/recording.go
@@ -18,7 +18,6 @@
 	first *damasktrail.Head
 	// parts are never modified once appended.
 	parts   [][]byte
-	size    int
 	ended   bool
 	refusal *damasktrail.Refusal
 	usage   damasktrail.Usage
@@ -40,16 +39,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.parts = append(r.parts, bytes.Clone(data))
-	r.size += len(data)
 	r.wake()
 	return nil
 }
 
 // finish ends the recording; refusal is nil when the answer is whole.
-func (r *recording) finish(refusal *damasktrail.Refusal) {
+func (r *recording) finish(usage damasktrail.Usage, refusal *damasktrail.Refusal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ended, r.refusal = true, refusal
+	r.ended, r.usage, r.refusal = true, usage, refusal
 	r.wake()
 }
 
@@ -60,10 +58,10 @@
 }
 
 // answer returns the whole answer for the ledger.
-func (r *recording) answer() ticket.Answer {
+func (r *recording) answer(usage damasktrail.Usage) ticket.Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	res := ticket.Answer{Usage: r.usage, Body: bytes.Join(r.parts, nil)}
+	res := ticket.Answer{Usage: usage, Body: bytes.Join(r.parts, nil)}
 	if r.first != nil {
 		res.Status, res.Type = r.first.Status, r.first.Type
 	}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -69,8 +69,8 @@
 	return fmt.Sprintf("endpoint crashed during call %s after event %d: %v", e.ID, e.Events, e.Err)
 }
 
-// Unwrap returns the cause.
-func (e *CrashedError) Unwrap() error { return e.Err }
+// Unwrap returns the mark and the cause.
+func (e *CrashedError) Unwrap() []error { return []error{damasktrail.ErrCrashed, e.Err} }
 
 // StatusError is an unexpected HTTP status of the endpoint.
 type StatusError struct {
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,415 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"hash/crc64"
+	"time"
+
+	"damasktrail.dev"
+	"damasktrail.dev/frame"
+	"damasktrail.dev/link"
+	"damasktrail.dev/ticket"
+)
+
+const (
+	// openTimeout bounds the wait for a stream on a link.
+	openTimeout = 2 * time.Second
+	// staleTries is how often a request is repeated after the agent had a newer
+	// document.
+	staleTries = 3
+	// floorWait is the time that a floor gets to spread before a request of a
+	// higher tier is refused for lack of room.
+	floorWait = time.Second
+	// crashWait is the time that the news of a crash gets to reach other entries
+	// before the caller learns of it and sends the request again.
+	crashWait = 300 * time.Millisecond
+	// guestWait bounds the wait for a link to the agent of a ticket.
+	guestWait = 3 * time.Second
+)
+
+var table = crc64.MakeTable(crc64.ECMA)
+
+// run serves a request: it chooses agents until one answers or no other attempt
+// is allowed. A nil result means that the whole answer was written.
+func (e *Entry) run(ctx context.Context, c *call, out *output) *damasktrail.Refusal {
+	if c.ticket != "" {
+		return e.runTicket(ctx, c, out)
+	}
+	var (
+		excluded  = map[string]bool{}
+		uncertain bool // An attempt may have run.
+		last      *damasktrail.Refusal
+		stale     int
+		raised    bool
+	)
+	for {
+		s := e.snapshot.Load()
+		if refusal := e.admissible(s, c); refusal != nil {
+			return settle(refusal, uncertain)
+		}
+		r := e.choose(s, c, excluded)
+		if r == nil {
+			if !raised && last != nil && last.Reason == damasktrail.ReasonFull && e.raise(ctx, s, c) {
+				raised = true
+				e.metrics.Retried(damasktrail.ReasonFull)
+				excluded = e.dispatchedOnly(excluded, uncertain)
+				continue
+			}
+			return settle(noRoom(last), uncertain)
+		}
+		out.reset()
+		refusal := e.attempt(ctx, s, c, r, out)
+		if refusal == nil {
+			return nil
+		}
+		last = refusal
+		if out.started() || ctx.Err() != nil {
+			return e.ended(ctx, refusal, uncertain)
+		}
+		if refusal.Outcome == damasktrail.Unknown {
+			uncertain = true
+			excluded[r.vm.Name] = true
+			if refusal.Reason == damasktrail.ReasonCrashed {
+				_ = e.clock.Sleep(ctx, crashWait)
+			}
+			if !c.idempotent {
+				return refusal
+			}
+			if !e.budgets.take(c.organisation.Name) {
+				e.metrics.Count("budget_spent", 1)
+				return refusal
+			}
+			e.metrics.Retried(refusal.Reason)
+			continue
+		}
+		switch refusal.Reason {
+		case damasktrail.ReasonStale:
+			if stale++; stale > staleTries {
+				return settle(refusal, uncertain)
+			}
+			e.catchUp(ctx, r)
+		case damasktrail.ReasonPoisoned, damasktrail.ReasonMalformed:
+			return settle(refusal, uncertain)
+		default:
+			excluded[r.vm.Name] = true
+		}
+		e.metrics.Retried(refusal.Reason)
+	}
+}
+
+// settle gives the outcome of all attempts together.
+func settle(r *damasktrail.Refusal, uncertain bool) *damasktrail.Refusal {
+	if uncertain {
+		return r.WithOutcome(damasktrail.Unknown)
+	}
+	return r
+}
+
+// ended returns the refusal of a request whose context ended or whose answer
+// was cut.
+func (e *Entry) ended(ctx context.Context, r *damasktrail.Refusal, uncertain bool) *damasktrail.Refusal {
+	var cause *damasktrail.Refusal
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause
+	}
+	return settle(r, uncertain)
+}
+
+func noRoom(last *damasktrail.Refusal) *damasktrail.Refusal {
+	if last != nil {
+		return last
+	}
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonNotReady, Outcome: damasktrail.NotRun,
+		RetryAfter: retryFull, Detail: "no endpoint for the model is reachable",
+	}
+}
+
+// dispatchedOnly allows another attempt at agents that confirmed not to have
+// run the request. When an attempt may have run, none is allowed.
+func (e *Entry) dispatchedOnly(excluded map[string]bool, uncertain bool) map[string]bool {
+	if uncertain {
+		return excluded
+	}
+	return map[string]bool{}
+}
+
+// admissible refuses what no agent needs to see.
+func (e *Entry) admissible(s *snapshot, c *call) *damasktrail.Refusal {
+	if _, found := s.poisoned[c.request.Fingerprint]; found {
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonPoisoned, Outcome: damasktrail.NotRun,
+			Detail: "this request has crashed endpoints",
+		}
+	}
+	if lowest, found := s.floors[c.target]; found && c.tier.Rank > lowest {
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonFloor, Outcome: damasktrail.NotRun,
+			RetryAfter: floorLife, Detail: "only higher tiers are admitted for the model",
+		}
+	}
+	if c.left(e.clock.Now()) <= 0 {
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonDeadline, Outcome: damasktrail.NotRun,
+			RetryAfter: retryFull, Detail: "the deadline passed",
+		}
+	}
+	return nil
+}
+
+// choose returns the agent for the next attempt, or nil.
+func (e *Entry) choose(s *snapshot, c *call, excluded map[string]bool) *remote {
+	now := e.clock.Now()
+	var usable []*remote
+	var candidates []damasktrail.Candidate
+	for _, r := range s.targets[c.target] {
+		if !excluded[r.vm.Name] && r.usable() {
+			usable = append(usable, r)
+			candidates = append(candidates, r.candidate(now))
+		}
+	}
+	if len(usable) == 0 {
+		return nil
+	}
+	i, ok := s.policy.Choose(c.request, candidates)
+	if !ok {
+		return nil
+	}
+	return usable[i]
+}
+
+// raise raises the floor of the target to the request's tier and waits until it
+// has had time to spread. It reports whether another try makes sense.
+func (e *Entry) raise(ctx context.Context, s *snapshot, c *call) bool {
+	if c.tier.Rank+1 >= len(s.document.Tiers) {
+		return false // No tier is lower.
+	}
+	f := []frame.Floor{{Model: c.target, Tier: c.tier.Rank}}
+	now := e.clock.Now()
+	e.post(func(ctl *control) { ctl.hear(nil, f, now) })
+	wait := min(floorWait, c.left(now)/2)
+	return wait > 0 && e.clock.Sleep(ctx, wait) == nil
+}
+
+// catchUp waits for a newer document after an agent had one.
+func (e *Entry) catchUp(ctx context.Context, r *remote) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	changed := e.documents.Changed()
+	if s := r.session.Load(); s != nil {
+		s.send(frame.KindPull, frame.Pull{Topic: frame.TopicDocument, From: e.rollout.Generation()})
+	}
+	select {
+	case <-changed:
+		// The snapshot follows the document through the control goroutine.
+		done := make(chan struct{})
+		e.post(func(*control) { close(done) })
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+	case <-ctx.Done():
+	}
+}
+
+// runTicket serves a request with a ticket: at exactly the agent and
+// incarnation that issued it, whatever happens there.
+func (e *Entry) runTicket(ctx context.Context, c *call, out *output) *damasktrail.Refusal {
+	name, incarnation, err := ticket.Target(c.ticket)
+	if err != nil {
+		return malformed("%v", err)
+	}
+	for tries := 0; ; tries++ {
+		s := e.snapshot.Load()
+		r := e.guest(ctx, name)
+		if r == nil {
+			return &damasktrail.Refusal{
+				Reason: damasktrail.ReasonLost, Outcome: damasktrail.Unknown,
+				RetryAfter: retryFull, Detail: "the agent of the ticket cannot be reached",
+			}
+		}
+		if live := r.session.Load(); live != nil && live.incarnation != incarnation {
+			return &damasktrail.Refusal{
+				Reason: damasktrail.ReasonIncarnation, Outcome: damasktrail.Unknown,
+				Detail: "the agent of the ticket was replaced",
+			}
+		}
+		out.reset()
+		refusal := e.attempt(ctx, s, c, r, out)
+		if refusal == nil {
+			return nil
+		}
+		if out.started() || ctx.Err() != nil || refusal.Reason != damasktrail.ReasonStale {
+			return e.ended(ctx, refusal, false)
+		}
+		if tries >= staleTries {
+			return refusal
+		}
+		e.catchUp(ctx, r)
+		e.metrics.Retried(refusal.Reason)
+	}
+}
+
+// guest returns the named agent, connecting to it when it is not in the subset.
+func (e *Entry) guest(ctx context.Context, name string) *remote {
+	if r := e.snapshot.Load().agents[name]; r != nil && r.session.Load() != nil {
+		return r
+	}
+	until := e.clock.Now().Add(guestLife)
+	e.post(func(c *control) {
+		if l := e.members.Load(); l != nil {
+			if _, found := l.VM(name); found {
+				c.guests[name] = until
+				c.linked.dirty = true
+			}
+		}
+	})
+	ctx, cancel := context.WithTimeout(ctx, guestWait)
+	defer cancel()
+	for {
+		if r := e.snapshot.Load().agents[name]; r != nil && r.session.Load() != nil {
+			return r
+		}
+		if e.clock.Sleep(ctx, redialMin) != nil {
+			return nil
+		}
+	}
+}
+
+// notSent is the refusal of an attempt of which no byte was sent.
+func notSent(detail string) *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonNotReady, Outcome: damasktrail.NotRun,
+		RetryAfter: retryFull, Detail: detail,
+	}
+}
+
+// lost is the refusal of an attempt whose end was not seen.
+func lost(detail string) *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonLost, Outcome: damasktrail.Unknown,
+		RetryAfter: retryFull, Detail: detail,
+	}
+}
+
+// attempt sends the request to one agent and relays the answer. A nil result
+// means that the whole answer was written.
+func (e *Entry) attempt(ctx context.Context, s *snapshot, c *call, r *remote, out *output) *damasktrail.Refusal {
+	c.confirmed = false
+	live := r.session.Load()
+	if live == nil {
+		return notSent("the link to the agent is gone")
+	}
+	wait, cancel := context.WithTimeout(ctx, openTimeout)
+	stream, err := live.conn.Open(wait)
+	cancel()
+	if err != nil {
+		return notSent("the agent has no room for another stream")
+	}
+	r.inflight.Add(1)
+	defer r.inflight.Add(-1)
+	r.prefill.Add(int64(c.request.Cost.Prefill))
+	r.decode.Add(int64(c.request.Cost.Decode))
+	stop := context.AfterFunc(ctx, stream.Cancel)
+	defer stop()
+	if err := stream.Send(frame.KindOpen, e.openFrame(s, c)); err != nil {
+		stream.Cancel()
+		return lost("the link broke while the request was sent")
+	}
+	_ = stream.CloseSend()
+	refusal := e.receive(c, r, live, stream, out)
+	if refusal != nil {
+		stream.StopReceive()
+	}
+	return refusal
+}
+
+func (e *Entry) openFrame(s *snapshot, c *call) frame.Open {
+	lowest, found := s.floors[c.target]
+	if !found {
+		lowest = -1
+	}
+	return frame.Open{
+		ID:           c.id,
+		Ticket:       c.ticket,
+		Organisation: c.organisation.Name,
+		Tier:         c.tier.Rank,
+		Model:        c.target,
+		Method:       c.method,
+		Path:         c.path,
+		Type:         c.typ,
+		Body:         c.body,
+		Stream:       c.stream,
+		Deadline:     max(c.left(e.clock.Now()).Milliseconds(), 1),
+		Generation:   s.document.Generation,
+		Floor:        lowest,
+		Fingerprint:  c.request.Fingerprint,
+		Cost:         c.request.Cost,
+	}
+}
+
+// receive relays the frames of an answer until its end.
+func (e *Entry) receive(c *call, r *remote, live *session, stream *link.Stream, out *output) *damasktrail.Refusal {
+	var chunks, sum uint64
+	headed := false
+	for {
+		raw, err := stream.Receive()
+		if err != nil {
+			return lost("the link broke before the end of the answer")
+		}
+		now := e.clock.Now()
+		live.heard.Store(now.UnixNano())
+		switch raw.Kind {
+		case frame.KindHead:
+			h, err := frame.Decode[frame.Head](raw, frame.KindHead)
+			if err != nil || headed {
+				return e.broken(err)
+			}
+			headed = true
+			out.begin(h)
+		case frame.KindChunk:
+			m, err := frame.Decode[frame.Chunk](raw, frame.KindChunk)
+			if err != nil || !headed || m.Position != chunks {
+				return e.broken(err)
+			}
+			chunks++
+			sum = crc64.Update(sum, table, m.Data)
+			if err := out.data(m.Data); err != nil {
+				return &damasktrail.Refusal{
+					Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.Unknown, Detail: "the caller is gone",
+				}
+			}
+		case frame.KindEnd:
+			m, err := frame.Decode[frame.End](raw, frame.KindEnd)
+			if err != nil || !headed || m.Chunks != chunks || m.Digest != sum {
+				return e.broken(err)
+			}
+			r.record(m.Load, now)
+			if err := out.end(); err != nil {
+				return &damasktrail.Refusal{
+					Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.Unknown, Detail: "the caller is gone",
+				}
+			}
+			return nil
+		case frame.KindRefuse:
+			m, err := frame.Decode[frame.Refuse](raw, frame.KindRefuse)
+			if err != nil {
+				return e.broken(err)
+			}
+			r.record(m.Load, now)
+			// A stale request is refused before its ticket is looked at.
+			c.confirmed = m.Outcome == damasktrail.NotRun && m.Reason != damasktrail.ReasonStale
+			return m.Refusal()
+		default:
+			return e.broken(nil)
+		}
+	}
+}
+
+// broken is the refusal after a frame that does not continue the answer.
+func (e *Entry) broken(err error) *damasktrail.Refusal {
+	e.metrics.Count("protocol_errors", 1)
+	e.log.Warn("answer does not fit the protocol", "error", err)
+	return lost("the answer was not whole")
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"damasktrail.dev"
+	"damasktrail.dev/document"
+)
+
+// The headers of the callers' interface.
+const (
+	headerTier       = "Damasktrail-Tier"
+	headerDeadline   = "Damasktrail-Deadline"
+	headerIdempotent = "Damasktrail-Idempotent"
+	headerTicket     = "Idempotency-Key"
+	headerOutcome    = "Damasktrail-Outcome"
+	headerReason     = "Damasktrail-Reason"
+	headerRetry      = "X-Should-Retry"
+)
+
+const (
+	// bytesPerToken converts a body's length into an estimate of prompt tokens.
+	bytesPerToken = 4
+	// defaultDecode is the estimate of an answer of unknown length, in tokens.
+	defaultDecode = 256
+	// prefixBytes is the start of a prompt that decides which agents may have
+	// its prefill cached.
+	prefixBytes = 1024
+)
+
+// call is one request of a caller. It belongs to the goroutine that serves it.
+type call struct {
+	id           string
+	organisation document.Organisation
+	tier         document.Tier
+	// target is what agents serve: a model, or the set of a service.
+	target string
+	method string
+	path   string
+	typ    string
+	body   []byte
+	stream bool
+	// idempotent says that the request may run twice.
+	idempotent bool
+	ticket     string
+	// confirmed is set when the agent of the ticket gave the refusal.
+	confirmed bool
+	arrived   time.Time
+	request   damasktrail.Request
+}
+
+// malformed returns the refusal of a request that cannot be read.
+func malformed(format string, args ...any) *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonMalformed, Outcome: damasktrail.NotRun,
+		Detail: fmt.Sprintf(format, args...),
+	}
+}
+
+// chatBody is the part of an OpenAI request that the entry reads.
+type chatBody struct {
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+}
+
+// identify sets the organisation and tier from the document.
+func (c *call) identify(d *document.Document, h http.Header) *damasktrail.Refusal {
+	unauthorised := &damasktrail.Refusal{
+		Reason: damasktrail.ReasonUnauthorised, Outcome: damasktrail.NotRun, Detail: "the key is not known",
+	}
+	const scheme = "Bearer "
+	key := h.Get("Authorization")
+	if len(key) <= len(scheme) || key[:len(scheme)] != scheme {
+		return unauthorised
+	}
+	o, found := d.OrganisationByKey(key[len(scheme):])
+	if !found {
+		return unauthorised
+	}
+	c.organisation = o
+	name := o.Tiers[0]
+	if wanted := h.Get(headerTier); wanted != "" {
+		name = ""
+		for _, t := range o.Tiers {
+			if t == wanted {
+				name = t
+			}
+		}
+		if name == "" {
+			return malformed("organisation %q may not use tier %q", o.Name, wanted)
+		}
+	}
+	c.tier, _ = d.Tier(name)
+	return nil
+}
+
+// options reads the deadline, the mark for non-idempotent requests and the
+// ticket.
+func (c *call) options(h http.Header) *damasktrail.Refusal {
+	c.request.Deadline = c.tier.Deadline
+	if text := h.Get(headerDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return malformed("%s must be a positive number of milliseconds, not %q", headerDeadline, text)
+		}
+		if ms < c.tier.Deadline.Milliseconds() {
+			c.request.Deadline = time.Duration(ms) * time.Millisecond
+		}
+	}
+	switch text := h.Get(headerIdempotent); text {
+	case "":
+	case "true":
+		// The document says which calls of a service may repeat, not the caller.
+	case "false":
+		c.idempotent = false
+	default:
+		return malformed("%s must be true or false, not %q", headerIdempotent, text)
+	}
+	c.ticket = h.Get(headerTicket)
+	if c.idempotent {
+		// Client libraries send keys of their own with requests that may repeat.
+		c.ticket = ""
+		return nil
+	}
+	if c.ticket == "" {
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonNoKey, Outcome: damasktrail.NotRun,
+			Detail: "a non-idempotent request needs a ticket from POST /v1/tickets in " + headerTicket,
+		}
+	}
+	return nil
+}
+
+// readChat reads the body of an OpenAI request.
+func (c *call) readChat(d *document.Document) *damasktrail.Refusal {
+	if t, _, err := mime.ParseMediaType(c.typ); err != nil || t != "application/json" {
+		return malformed("the content type must be application/json, not %q", c.typ)
+	}
+	var b chatBody
+	if err := json.Unmarshal(c.body, &b); err != nil {
+		return malformed("the body is not valid JSON: %v", err)
+	}
+	m, found := d.Model(b.Model)
+	if !found {
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonNoModel, Outcome: damasktrail.NotRun,
+			Detail: fmt.Sprintf("model %q does not exist", b.Model),
+		}
+	}
+	c.target, c.stream = m.Name, b.Stream
+	c.request.Cost.Decode = defaultDecode
+	if limit := max(b.MaxTokens, b.MaxCompletionTokens); limit > 0 {
+		c.request.Cost.Decode = min(limit, c.request.Cost.Decode)
+	}
+	return nil
+}
+
+// weigh sets what decisions need.
+func (c *call) weigh() {
+	c.request.Organisation = c.organisation.Name
+	c.request.Model = c.target
+	c.request.Tier = c.tier.Rank
+	c.request.Cost.Prefill = max(1, len(c.body)/bytesPerToken)
+	c.request.Prefix = digest(c.target, prompt(c.body))
+	c.request.Fingerprint = digest(c.organisation.Name, c.target, c.path, string(c.body))
+}
+
+// prompt returns the start of the messages or the prompt of a body.
+func prompt(body []byte) string {
+	for _, name := range []string{`"messages"`, `"prompt"`} {
+		if i := bytes.Index(body, []byte(name)); i >= 0 {
+			body = body[i:]
+			break
+		}
+	}
+	return string(body[:min(len(body), prefixBytes)])
+}
+
+func digest(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(strconv.Itoa(len(p))))
+		_, _ = h.Write([]byte{':'})
+		_, _ = h.Write([]byte(p))
+	}
+	return h.Sum64()
+}
+
+// left returns the time until the deadline.
+func (c *call) left(now time.Time) time.Duration {
+	return c.request.Deadline - now.Sub(c.arrived)
+}
+
+// readService reads a call of a plain service.
+func (c *call) readService(d *document.Document, name, path, query string) *damasktrail.Refusal {
+	s, found := d.Service(name)
+	if !found {
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonNoModel, Outcome: damasktrail.NotRun,
+			Detail: fmt.Sprintf("service %q does not exist", name),
+		}
+	}
+	c.target = s.Set
+	c.path = trimService(path, query)
+	c.idempotent = false
+	for _, m := range s.Idempotent {
+		if m == c.method {
+			c.idempotent = true
+		}
+	}
+	return nil
+}
+
+// readTicket reads the body of a request for a ticket.
+func (c *call) readTicket(d *document.Document) *damasktrail.Refusal {
+	var b ticketBody
+	if err := json.Unmarshal(c.body, &b); err != nil {
+		return malformed("the body is not valid JSON: %v", err)
+	}
+	if (b.Model == "") == (b.Service == "") {
+		return malformed("the body must name either a model or a service")
+	}
+	c.target = b.Model
+	if b.Service != "" {
+		s, found := d.Service(b.Service)
+		if !found {
+			return &damasktrail.Refusal{
+				Reason: damasktrail.ReasonNoModel, Outcome: damasktrail.NotRun,
+				Detail: fmt.Sprintf("service %q does not exist", b.Service),
+			}
+		}
+		c.target = s.Set
+		return nil
+	}
+	if _, found := d.Model(b.Model); !found {
+		return &damasktrail.Refusal{
+			Reason: damasktrail.ReasonNoModel, Outcome: damasktrail.NotRun,
+			Detail: fmt.Sprintf("model %q does not exist", b.Model),
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/limits.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"damasktrail.dev"
+	"damasktrail.dev/document"
+)
+
+const (
+	// retryFull is the advice when there is no room.
+	retryFull = time.Second
+	// budgetShare is what a fresh request adds to the retry budget, and
+	// budgetMax the most that is kept. See docs/design.md.
+	budgetShare = 0.1
+	budgetMax   = 10.0
+)
+
+// limits applies the rate and inflight limits of organisations at this entry.
+type limits struct {
+	mu    sync.Mutex
+	usage map[string]*usage
+}
+
+// usage is a token bucket that holds at most one second of the rate, and at
+// least one request.
+type usage struct {
+	tokens float64
+	at     time.Time
+	open   int
+}
+
+func newLimits() *limits {
+	return &limits{usage: map[string]*usage{}}
+}
+
+// enter counts a request or refuses it. The caller calls leave when it was
+// counted.
+func (l *limits) enter(o document.Organisation, now time.Time) *damasktrail.Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	burst := max(o.Rate, 1)
+	u, found := l.usage[o.Name]
+	if !found {
+		u = &usage{tokens: burst, at: now}
+		l.usage[o.Name] = u
+	}
+	u.tokens = min(burst, u.tokens+now.Sub(u.at).Seconds()*o.Rate)
+	u.at = now
+	if u.open >= o.Inflight {
+		return overLimit("too many open requests", retryFull)
+	}
+	if u.tokens < 1 {
+		return overLimit("too many requests per second", time.Duration((1-u.tokens)/o.Rate*float64(time.Second)))
+	}
+	u.tokens--
+	u.open++
+	return nil
+}
+
+func overLimit(detail string, retry time.Duration) *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonLimit, Outcome: damasktrail.NotRun,
+		RetryAfter: max(retry, time.Millisecond), Detail: "the organisation has " + detail,
+	}
+}
+
+func (l *limits) leave(organisation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usage[organisation].open--
+}
+
+// budgets bounds retries as a share of fresh requests, per organisation.
+type budgets struct {
+	mu     sync.Mutex
+	tokens map[string]float64
+}
+
+func newBudgets() *budgets {
+	return &budgets{tokens: map[string]float64{}}
+}
+
+// fresh adds the share of a fresh request.
+func (b *budgets) fresh(organisation string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	held, found := b.tokens[organisation]
+	if !found {
+		held = budgetMax
+	}
+	b.tokens[organisation] = min(budgetMax, held+budgetShare)
+}
+
+// take pays for a retry and reports whether the budget allowed it.
+func (b *budgets) take(organisation string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens[organisation] < 1 {
+		return false
+	}
+	b.tokens[organisation]--
+	return true
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"damasktrail.dev/document"
+	"damasktrail.dev/frame"
+	"damasktrail.dev/group"
+	"damasktrail.dev/link"
+	"damasktrail.dev/member"
+)
+
+const (
+	// peerBeat is the interval of heartbeats between entries. It carries the
+	// generation, so it also bounds how long a lost push stays unrepaired.
+	peerBeat = 2 * time.Second
+	// pushRanks is how many of an agent's entries act on a new document: the
+	// first sends it, the others send its generation.
+	pushRanks = 3
+)
+
+// peer is another entry that this one has a link with.
+type peer struct {
+	vm      member.VM
+	session atomic.Pointer[session]
+	stop    context.CancelFunc
+}
+
+// self returns this entry as the VM list shows it, or as its settings do while
+// the list lacks it.
+func (e *Entry) self(l *member.List) member.VM {
+	if vm, found := l.VM(e.settings.Name); found {
+		return vm
+	}
+	return member.VM{
+		Name: e.settings.Name, Role: member.RoleEntry, Address: e.settings.Gossip,
+		Domain: e.settings.Domain, State: member.StateLive,
+	}
+}
+
+// regionOf returns the region of a failure domain, empty when unknown.
+func regionOf(d *document.Document, domain string) string {
+	res, _ := d.Domain(domain)
+	return res.Region
+}
+
+// choosePeers returns the entries to keep links with.
+func choosePeers(l *member.List, d *document.Document, self member.VM) []member.VM {
+	var near, far []member.VM
+	region := regionOf(d, self.Domain)
+	for _, vm := range l.VMs {
+		switch {
+		case vm.Role != member.RoleEntry || vm.State != member.StateLive || vm.Name == self.Name:
+		case regionOf(d, vm.Domain) == region:
+			near = append(near, vm)
+		default:
+			far = append(far, vm)
+		}
+	}
+	byRank := func(a, b member.VM) int {
+		return cmp.Compare(member.Rank(self.Name, b.Name), member.Rank(self.Name, a.Name))
+	}
+	slices.SortFunc(near, byRank)
+	slices.SortFunc(far, byRank)
+	return append(near[:min(len(near), peersNear):min(len(near), peersNear)], far[:min(len(far), peersFar)]...)
+}
+
+func (c *control) relinkPeers(l *member.List, d *document.Document, self member.VM) {
+	wanted := map[string]member.VM{}
+	for _, vm := range choosePeers(l, d, self) {
+		wanted[vm.Name] = vm
+	}
+	for name, p := range c.peers {
+		if vm, found := wanted[name]; p.stop != nil && (!found || vm.Address != p.vm.Address) {
+			p.stop()
+			delete(c.peers, name)
+		}
+	}
+	for name, vm := range wanted {
+		if p, found := c.peers[name]; found && p.stop != nil {
+			continue
+		}
+		ctx, stop := context.WithCancel(c.e.tasks.Context())
+		p := &peer{vm: vm, stop: stop}
+		c.peers[name] = p
+		c.e.tasks.Go(func(context.Context) { c.e.keepPeer(ctx, p) })
+	}
+	c.e.expected.Store(int64(len(wanted)))
+}
+
+// keepPeer holds a link to another entry until ctx ends.
+func (e *Entry) keepPeer(ctx context.Context, p *peer) {
+	e.redial(ctx, p.vm.Address, e.entries, func(conn *link.Conn) error {
+		s, hello, err := e.open(ctx, conn)
+		if err != nil {
+			return err
+		}
+		if s.name != p.vm.Name {
+			return &PeerError{Want: p.vm.Name, Got: s.name}
+		}
+		stop := context.AfterFunc(ctx, func() { conn.Close("not a peer") })
+		defer stop()
+		p.session.Store(s)
+		defer p.session.Store(nil)
+		return e.servePeer(s, hello)
+	})
+}
+
+// acceptPeers serves links that other entries opened.
+func (e *Entry) acceptPeers(ctx context.Context) {
+	for {
+		conn, err := e.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		e.tasks.Go(func(context.Context) { e.serveAccepted(conn) })
+	}
+}
+
+func (e *Entry) serveAccepted(conn *link.Conn) {
+	defer conn.Close("done")
+	control, err := conn.Accept(conn.Context())
+	if err != nil {
+		return
+	}
+	raw, err := control.Receive()
+	if err != nil {
+		return
+	}
+	hello, err := frame.Decode[frame.Hello](raw, frame.KindHello)
+	if err != nil || hello.Name != conn.Peer().Name {
+		e.metrics.Count("protocol_errors", 1)
+		return
+	}
+	s := e.newSession(conn, control, hello)
+	s.send(frame.KindHello, e.hello())
+	// News goes to peers that dialled this entry as well; they are not redialled
+	// from here.
+	name := "accepted " + hello.Name + " " + hello.Incarnation
+	p := &peer{}
+	p.session.Store(s)
+	e.post(func(c *control) { c.peers[name] = p })
+	defer e.post(func(c *control) {
+		if c.peers[name] == p {
+			delete(c.peers, name)
+		}
+	})
+	_ = e.servePeer(s, hello)
+}
+
+// servePeer exchanges control messages with another entry until the link ends.
+func (e *Entry) servePeer(s *session, hello frame.Hello) error {
+	tasks := group.New(s.conn.Context())
+	defer tasks.Close()
+	defer s.conn.Close("done")
+	tasks.Go(s.write)
+	e.compared.Store(true)
+	for _, m := range e.rollout.Compare(hello.Generation, max(hello.Members, 1)) {
+		s.send(m.Kind, m.Body)
+	}
+	cancel := e.clock.Subscribe(peerBeat, func(now time.Time) {
+		if now.Sub(time.Unix(0, s.heard.Load())) > 2*silenceLimit {
+			e.metrics.Count("links_silent", 1)
+			s.conn.Close("silent")
+			return
+		}
+		s.send(frame.KindBeat, e.beat())
+	})
+	defer cancel()
+	for {
+		raw, err := s.control.Receive()
+		if err != nil {
+			if now := e.clock.Now(); now.Sub(time.Unix(0, s.heard.Load())) > 2*silenceLimit {
+				return errSilent
+			}
+			return err
+		}
+		now := e.clock.Now()
+		s.heard.Store(now.UnixNano())
+		if raw.Kind != frame.KindBeat {
+			e.receiveRollout(s, raw)
+			continue
+		}
+		b, err := frame.Decode[frame.Beat](raw, frame.KindBeat)
+		if err != nil {
+			return err
+		}
+		e.contacted(now.Add(-time.Duration(b.Age) * time.Millisecond))
+		b.Members = max(b.Members, 1) // A peer without a list gets one.
+		e.hear(s, b, now)
+	}
+}
+
+// announce sends a new document to peers and to the agents that this entry is
+// ranked first for; agents of the next ranks get its generation.
+func (c *control) announce() {
+	d := c.e.documents.Load()
+	if d == nil {
+		return
+	}
+	c.e.log.Info("document in force", "generation", d.Generation)
+	previous := c.announced
+	c.announced = d.Generation
+	news := c.e.rollout.Since(frame.TopicDocument, previous)
+	for _, p := range c.peers {
+		if s := p.session.Load(); s != nil {
+			for _, m := range news {
+				s.send(m.Kind, m.Body)
+			}
+		}
+	}
+	beat := c.e.beat()
+	for _, r := range c.agents {
+		s := r.session.Load()
+		switch {
+		case s == nil:
+		case r.rank == 0:
+			for _, m := range news {
+				s.send(m.Kind, m.Body)
+			}
+		case r.rank < pushRanks:
+			s.send(frame.KindBeat, beat)
+		}
+	}
+}
+
+// beat returns a heartbeat of this entry.
+func (e *Entry) beat() frame.Beat {
+	age := e.clock.Now().Sub(time.Unix(0, e.contact.Load()))
+	return frame.Beat{
+		Generation: e.rollout.Generation(),
+		Members:    e.rollout.Members(),
+		Age:        max(age, 0).Milliseconds(),
+	}
+}
+
+// contacted records a successful contact with the platform, by any entry.
+func (e *Entry) contacted(at time.Time) {
+	nano := at.UnixNano()
+	for {
+		held := e.contact.Load()
+		if nano <= held || e.contact.CompareAndSwap(held, nano) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/entry/remote.go
@@ -0,0 +1,368 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"damasktrail.dev"
+	"damasktrail.dev/frame"
+	"damasktrail.dev/group"
+	"damasktrail.dev/link"
+	"damasktrail.dev/member"
+)
+
+const (
+	// redialMin and redialMax bound the pause between two tries to reach a peer.
+	redialMin = 100 * time.Millisecond
+	redialMax = 5 * time.Second
+	// dialTimeout bounds one try.
+	dialTimeout = 3 * time.Second
+	// silencePing and silenceLimit are the times without any frame on a link
+	// with open attempts after which a beat is asked for, and after which the
+	// link is given up.
+	silencePing  = 2 * time.Second
+	silenceLimit = 6 * time.Second
+	// watchInterval is that of the silence check.
+	watchInterval = 500 * time.Millisecond
+	// outbox bounds the control messages that wait for one peer.
+	outbox = 64
+)
+
+// errGone ends the wait for an answer on a link that was lost.
+var errGone = errors.New("the link to the agent is gone")
+
+// report is a load with the time of its arrival.
+type report struct {
+	load damasktrail.Load
+	at   time.Time
+}
+
+// remote is an agent of this entry's subset. Traffic goroutines read and update
+// it without a lock.
+type remote struct {
+	vm member.VM
+	// target is what the agent's endpoint serves.
+	target string
+	// rank is this entry's place among the entries of the agent; the first
+	// pushes new documents.
+	rank int
+	// session is the live connection, nil while there is none.
+	session atomic.Pointer[session]
+	latest  atomic.Pointer[report]
+	leaving atomic.Bool
+	// prefill and decode are the tokens sent since the latest report.
+	prefill, decode atomic.Int64
+	inflight        atomic.Int64
+	// stop ends the goroutine that keeps the connection.
+	stop context.CancelFunc
+}
+
+// session is one connection to an agent or to another entry.
+type session struct {
+	conn        *link.Conn
+	control     *link.Stream
+	name        string
+	incarnation string
+	out         chan message
+	// heard is the time of the latest frame on any stream, in Unix nanoseconds.
+	heard atomic.Int64
+
+	mu sync.Mutex
+	// tickets maps the ids of Issue messages to those who wait for the answer.
+	tickets map[uint64]chan frame.Ticket
+	next    uint64
+}
+
+type message struct {
+	kind frame.Kind
+	body any
+}
+
+// send queues a control message; a full queue closes the connection.
+func (s *session) send(kind frame.Kind, body any) {
+	select {
+	case s.out <- message{kind, body}:
+	default:
+		s.conn.Close("control messages are not read")
+	}
+}
+
+// write sends queued messages until the connection ends.
+func (s *session) write(context.Context) {
+	for {
+		select {
+		case m := <-s.out:
+			if s.control.Send(m.kind, m.body) != nil {
+				return
+			}
+		case <-s.conn.Context().Done():
+			return
+		}
+	}
+}
+
+// record takes a report of the agent's load.
+func (r *remote) record(l damasktrail.Load, now time.Time) {
+	r.prefill.Store(0)
+	r.decode.Store(0)
+	r.latest.Store(&report{load: l, at: now})
+}
+
+// usable reports whether new attempts may go to the agent.
+func (r *remote) usable() bool {
+	if r.leaving.Load() || r.session.Load() == nil {
+		return false
+	}
+	l := r.latest.Load()
+	return l == nil || l.load.Limit > 0
+}
+
+// candidate is what a policy sees of the agent.
+func (r *remote) candidate(now time.Time) damasktrail.Candidate {
+	res := damasktrail.Candidate{
+		Agent:    r.vm.Name,
+		Domain:   r.vm.Domain,
+		Sent:     damasktrail.Cost{Prefill: int(r.prefill.Load()), Decode: int(r.decode.Load())},
+		Inflight: int(r.inflight.Load()),
+	}
+	if l := r.latest.Load(); l != nil {
+		res.Load, res.Age = l.load, now.Sub(l.at)
+	}
+	return res
+}
+
+// keep holds a connection to an agent until ctx ends.
+func (e *Entry) keep(ctx context.Context, r *remote) {
+	e.redial(ctx, r.vm.Address, e.agents, func(conn *link.Conn) error {
+		return e.serveAgent(ctx, r, conn)
+	})
+}
+
+// redial connects to an address again and again, with growing pauses, and
+// leaves from a new port after a connection that went silent.
+func (e *Entry) redial(ctx context.Context, address string, d *link.Dialer, serve func(*link.Conn) error) {
+	pause := redialMin
+	fresh := false
+	for ctx.Err() == nil {
+		dial, cancel := context.WithTimeout(ctx, dialTimeout)
+		conn, err := d.Dial(dial, address, fresh)
+		cancel()
+		if err == nil {
+			pause = redialMin
+			err = serve(conn)
+			conn.Close("done")
+		}
+		fresh = errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded)
+		e.log.Debug("link ended", "address", address, "error", err)
+		if e.clock.Sleep(ctx, jitter(pause)) != nil {
+			return
+		}
+		pause = min(2*pause, redialMax)
+	}
+}
+
+// errSilent ends a connection on which nothing arrives.
+var errSilent = errors.New("the link went silent")
+
+// open starts the control stream of a dialled connection and exchanges hellos.
+func (e *Entry) open(ctx context.Context, conn *link.Conn) (*session, frame.Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	control, err := conn.Open(ctx)
+	if err != nil {
+		return nil, frame.Hello{}, err
+	}
+	stop := context.AfterFunc(ctx, control.Cancel)
+	defer stop()
+	if err := control.Send(frame.KindHello, e.hello()); err != nil {
+		return nil, frame.Hello{}, err
+	}
+	raw, err := control.Receive()
+	if err != nil {
+		return nil, frame.Hello{}, err
+	}
+	h, err := frame.Decode[frame.Hello](raw, frame.KindHello)
+	if err != nil {
+		return nil, frame.Hello{}, err
+	}
+	return e.newSession(conn, control, h), h, nil
+}
+
+func (e *Entry) newSession(conn *link.Conn, control *link.Stream, h frame.Hello) *session {
+	s := &session{
+		conn:        conn,
+		control:     control,
+		name:        conn.Peer().Name,
+		incarnation: h.Incarnation,
+		out:         make(chan message, outbox),
+		tickets:     map[uint64]chan frame.Ticket{},
+	}
+	s.heard.Store(e.clock.Now().UnixNano())
+	return s
+}
+
+func (e *Entry) hello() frame.Hello {
+	return frame.Hello{
+		Name:        e.settings.Name,
+		Incarnation: e.incarnation,
+		Generation:  e.rollout.Generation(),
+		Members:     e.rollout.Members(),
+	}
+}
+
+// serveAgent runs one connection to an agent until it ends.
+func (e *Entry) serveAgent(ctx context.Context, r *remote, conn *link.Conn) error {
+	s, hello, err := e.open(ctx, conn)
+	if err != nil {
+		return err
+	}
+	if s.name != r.vm.Name {
+		return &PeerError{Want: r.vm.Name, Got: s.name}
+	}
+	tasks := group.New(conn.Context())
+	defer tasks.Close()
+	defer conn.Close("done")
+	stop := context.AfterFunc(ctx, func() { conn.Close("not in the subset") })
+	defer stop()
+	tasks.Go(s.write)
+	silent := false
+	cancel := e.clock.Subscribe(watchInterval, func(now time.Time) {
+		if e.silent(r, s, now) {
+			silent = true
+			conn.Close("silent")
+		}
+	})
+	defer cancel()
+	for _, m := range e.rollout.Compare(hello.Generation, 0) {
+		s.send(m.Kind, m.Body)
+	}
+	r.leaving.Store(false)
+	r.session.Store(s)
+	defer r.session.Store(nil)
+	err = e.receiveAgent(r, s)
+	if silent {
+		return errSilent
+	}
+	return err
+}
+
+// silent asks for a beat on a quiet link with open attempts and reports whether
+// the link must be given up.
+func (e *Entry) silent(r *remote, s *session, now time.Time) bool {
+	if r.inflight.Load() == 0 {
+		return false
+	}
+	quiet := now.Sub(time.Unix(0, s.heard.Load()))
+	if quiet >= silenceLimit {
+		e.metrics.Count("links_silent", 1)
+		return true
+	}
+	if quiet >= silencePing {
+		b := e.beat()
+		b.Reply = true
+		s.send(frame.KindBeat, b)
+	}
+	return false
+}
+
+// PeerError says that another process answers at an address.
+type PeerError struct {
+	// Want and Got are names of VMs.
+	Want, Got string
+}
+
+// Error implements error.
+func (e *PeerError) Error() string {
+	return "peer is " + e.Got + " where " + e.Want + " is expected"
+}
+
+// receiveAgent handles control messages of an agent.
+func (e *Entry) receiveAgent(r *remote, s *session) error {
+	for {
+		raw, err := s.control.Receive()
+		if err != nil {
+			return err
+		}
+		now := e.clock.Now()
+		s.heard.Store(now.UnixNano())
+		switch raw.Kind {
+		case frame.KindBeat:
+			b, err := frame.Decode[frame.Beat](raw, frame.KindBeat)
+			if err != nil {
+				return err
+			}
+			r.record(b.Load, now)
+			r.leaving.Store(b.Leaving)
+			e.hear(s, b, now)
+		case frame.KindLeave:
+			r.leaving.Store(true)
+		case frame.KindTicket:
+			t, err := frame.Decode[frame.Ticket](raw, frame.KindTicket)
+			if err != nil {
+				return err
+			}
+			s.deliver(t)
+		default:
+			e.receiveRollout(s, raw)
+		}
+	}
+}
+
+// hear takes what every beat carries.
+func (e *Entry) hear(s *session, b frame.Beat, now time.Time) {
+	for _, m := range e.rollout.Compare(b.Generation, b.Members) {
+		s.send(m.Kind, m.Body)
+	}
+	if len(b.Suspects) > 0 || len(b.Floors) > 0 {
+		e.post(func(c *control) { c.hear(b.Suspects, b.Floors, now) })
+	}
+}
+
+// receiveRollout passes a message to the rollout and sends its answers.
+func (e *Entry) receiveRollout(s *session, raw frame.Raw) {
+	answers, err := e.rollout.Receive(raw)
+	if err != nil {
+		e.metrics.Count("protocol_errors", 1)
+		e.log.Warn("refused message", "peer", s.name, "error", err)
+	}
+	for _, m := range answers {
+		s.send(m.Kind, m.Body)
+	}
+}
+
+// deliver hands a ticket to the request that asked for it.
+func (s *session) deliver(t frame.Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if to, found := s.tickets[t.ID]; found {
+		delete(s.tickets, t.ID)
+		to <- t
+	}
+}
+
+// issue asks the agent for a ticket.
+func (s *session) issue(ctx context.Context, organisation, target string) (frame.Ticket, error) {
+	to := make(chan frame.Ticket, 1)
+	s.mu.Lock()
+	s.next++
+	id := s.next
+	s.tickets[id] = to
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.tickets, id)
+		s.mu.Unlock()
+	}()
+	s.send(frame.KindIssue, frame.Issue{ID: id, Organisation: organisation, Model: target})
+	select {
+	case t := <-to:
+		return t, nil
+	case <-s.conn.Context().Done():
+		return frame.Ticket{}, errGone
+	case <-ctx.Done():
+		return frame.Ticket{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/entry/routes.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gin-gonic/gin"
+
+	"damasktrail.dev"
+)
+
+// routes returns the callers' interface.
+func (e *Entry) routes() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	g := gin.New()
+	// A panic other than http.ErrAbortHandler ends only its own request.
+	g.HandleMethodNotAllowed = true
+	g.POST("/v1/chat/completions", e.handleChat)
+	g.POST("/v1/completions", e.handleChat)
+	g.GET("/v1/models", e.handleModels)
+	g.POST("/v1/tickets", e.handleTicket)
+	g.Any("/v1/services/:name/*path", e.handleService)
+	g.NoRoute(func(c *gin.Context) {
+		writeRefusal(c.Writer, &damasktrail.Refusal{
+			Reason: damasktrail.ReasonNoModel, Outcome: damasktrail.NotRun,
+			Detail: fmt.Sprintf("path %q does not exist", c.Request.URL.Path),
+		}, false)
+	})
+	return g
+}
+
+// begin reads what all requests have in common.
+func (e *Entry) begin(g *gin.Context) (*snapshot, *call, *damasktrail.Refusal) {
+	s := e.snapshot.Load()
+	if s == nil {
+		return nil, &call{}, &damasktrail.Refusal{
+			Reason: damasktrail.ReasonNotReady, Outcome: damasktrail.NotRun,
+			RetryAfter: retryFull, Detail: "the entry has no document yet",
+		}
+	}
+	c := &call{
+		id:         e.incarnation + "-" + strconv.FormatUint(e.serial.Add(1), 36),
+		method:     g.Request.Method,
+		path:       g.Request.URL.Path,
+		typ:        g.GetHeader("Content-Type"),
+		idempotent: true,
+		arrived:    e.clock.Now(),
+	}
+	if refusal := c.identify(s.document, g.Request.Header); refusal != nil {
+		return s, c, refusal
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(g.Writer, g.Request.Body, e.settings.Body))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return s, c, &damasktrail.Refusal{
+			Reason: damasktrail.ReasonTooLarge, Outcome: damasktrail.NotRun,
+			Detail: fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit),
+		}
+	}
+	if err != nil {
+		return s, c, malformed("the body cannot be read")
+	}
+	c.body = body
+	return s, c, nil
+}
+
+// handleChat serves both kinds of completions.
+func (e *Entry) handleChat(g *gin.Context) {
+	s, c, refusal := e.begin(g)
+	if refusal == nil {
+		refusal = c.readChat(s.document)
+	}
+	if refusal == nil {
+		refusal = c.options(g.Request.Header)
+	}
+	e.serve(g, c, refusal)
+}
+
+// handleService serves a call of a plain service.
+func (e *Entry) handleService(g *gin.Context) {
+	s, c, refusal := e.begin(g)
+	if refusal == nil {
+		refusal = c.readService(s.document, g.Param("name"), g.Param("path"), g.Request.URL.RawQuery)
+	}
+	if refusal == nil {
+		refusal = c.options(g.Request.Header)
+	}
+	e.serve(g, c, refusal)
+}
+
+// serve runs a request that was read, or refuses it.
+func (e *Entry) serve(g *gin.Context, c *call, refusal *damasktrail.Refusal) {
+	if refusal != nil {
+		e.refuse(g.Writer, c, refusal)
+		return
+	}
+	c.weigh()
+	if refusal := e.limits.enter(c.organisation, c.arrived); refusal != nil {
+		e.refuse(g.Writer, c, refusal)
+		return
+	}
+	defer e.limits.leave(c.organisation.Name)
+	ctx, pass := e.gate.enter(g.Request.Context(), c.tier.Rank)
+	if pass == nil {
+		e.refuse(g.Writer, c, shed.WithOutcome(damasktrail.NotRun))
+		return
+	}
+	defer pass.leave()
+	e.budgets.fresh(c.organisation.Name)
+	out := newOutput(g.Writer, c.stream, pass)
+	refusal = e.run(ctx, c, out)
+	switch {
+	case refusal == nil:
+		e.metrics.Count("answers", 1)
+	case out.started():
+		e.count(c, refusal)
+		out.abort(refusal)
+	case g.Request.Context().Err() != nil:
+		e.count(c, refusal) // Nobody reads an answer.
+	default:
+		e.refuse(g.Writer, c, refusal)
+	}
+}
+
+func (e *Entry) count(c *call, r *damasktrail.Refusal) {
+	e.metrics.Refused(r, c.tier.Name)
+	e.log.Debug("refused", "id", c.id, "reason", r.Reason, "outcome", r.Outcome, "detail", r.Detail)
+}
+
+// refuse answers a request that has no answer. Only the agent of a ticket may
+// say that its request was not run, because another entry may have sent it.
+func (e *Entry) refuse(w http.ResponseWriter, c *call, r *damasktrail.Refusal) {
+	if c.ticket != "" && !c.confirmed {
+		r = r.WithOutcome(damasktrail.Unknown)
+	}
+	e.count(c, r)
+	writeRefusal(w, r, c.idempotent || r.Outcome == damasktrail.NotRun)
+}
+
+// handleModels lists the models that the document has.
+func (e *Entry) handleModels(g *gin.Context) {
+	s, c, refusal := e.begin(g)
+	if refusal != nil {
+		e.refuse(g.Writer, c, refusal)
+		return
+	}
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := make([]model, 0, len(s.document.Models))
+	for _, m := range s.document.Models {
+		list = append(list, model{ID: m.Name, Object: "model", OwnedBy: "damasktrail"})
+	}
+	g.JSON(http.StatusOK, gin.H{"object": "list", "data": list})
+}
+
+// ticketBody asks for a ticket for a model or a service.
+type ticketBody struct {
+	Model   string `json:"model"`
+	Service string `json:"service"`
+}
+
+// handleTicket issues a ticket through an agent.
+func (e *Entry) handleTicket(g *gin.Context) {
+	s, c, refusal := e.begin(g)
+	if refusal == nil {
+		refusal = c.readTicket(s.document)
+	}
+	if refusal == nil {
+		if refusal = e.limits.enter(c.organisation, c.arrived); refusal == nil {
+			defer e.limits.leave(c.organisation.Name)
+		}
+	}
+	if refusal != nil {
+		e.refuse(g.Writer, c, refusal)
+		return
+	}
+	c.weigh()
+	t, refusal := e.issue(g.Request.Context(), c)
+	if refusal != nil {
+		e.refuse(g.Writer, c, refusal)
+		return
+	}
+	g.JSON(http.StatusOK, gin.H{"ticket": t.Ticket, "expires": t.Expires})
+}
+
+// issue asks the chosen agent, and others when it does not give a ticket.
+func (e *Entry) issue(ctx context.Context, c *call) (res struct {
+	Ticket  string
+	Expires int64
+}, refusal *damasktrail.Refusal) {
+	excluded := map[string]bool{}
+	for {
+		s := e.snapshot.Load()
+		r := e.choose(s, c, excluded)
+		if r == nil {
+			return res, &damasktrail.Refusal{
+				Reason: damasktrail.ReasonNotReady, Outcome: damasktrail.NotRun,
+				RetryAfter: retryFull, Detail: "no endpoint gives a ticket now",
+			}
+		}
+		excluded[r.vm.Name] = true
+		live := r.session.Load()
+		if live == nil {
+			continue
+		}
+		wait, cancel := context.WithTimeout(ctx, dialTimeout)
+		t, err := live.issue(wait, c.organisation.Name, c.target)
+		cancel()
+		if err == nil && t.Refusal == nil {
+			res.Ticket, res.Expires = t.Ticket, t.Expires
+			return res, nil
+		}
+		if ctx.Err() != nil {
+			return res, &damasktrail.Refusal{
+				Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.NotRun, Detail: "the caller is gone",
+			}
+		}
+	}
+}
+
+// trimService returns the path that a service sees.
+func trimService(path, query string) string {
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	if query != "" {
+		path += "?" + query
+	}
+	return path
+}
--- a/frame/message.go
+++ b/frame/message.go
@@ -115,6 +115,8 @@
 	Suspects []Suspect `cbor:"suspects,omitempty"`
 	Floors   []Floor   `cbor:"floors,omitempty"`
 	Leaving  bool      `cbor:"leaving,omitempty"`
+	// Reply asks for a beat in return, to tell a silent link from an idle one.
+	Reply bool `cbor:"reply,omitempty"`
 }
 
 // Topic names one of the two published values.
