Add the operators' command line

Cause: operators check and compare documents before they publish them, and need certificates for trials. Change: commands check, diff and keys, with exit codes for scripts.

--- a/cmd/damasktrail/main.go
+++ b/cmd/damasktrail/main.go
@@ -1,4 +1,115 @@
-// Command placeholder.
+// Command damasktrail is the operators' command line.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"damasktrail.dev/document"
+)
+
+// The exit codes.
+const (
+	exitOK = 0
+	// exitDifferent is for documents that differ or are invalid.
+	exitDifferent = 1
+	exitUsage     = 2
+	// exitFile is for files that cannot be read or written.
+	exitFile = 3
+)
+
+// errDifferent ends a command with exitDifferent and no further message.
+var errDifferent = errors.New("documents differ")
+
+// usageError says that an argument has no sense.
+type usageError struct {
+	message string
+}
+
+// Error implements error.
+func (e *usageError) Error() string {
+	return e.message
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run executes one command and returns the exit code.
+func run(args []string, out, problems io.Writer) int {
+	parser := flags.NewNamedParser("damasktrail", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range []struct {
+		name, short, long string
+		data              flags.Commander
+	}{
+		{"check", "Check a document", "Reads a document and lists all its problems.", &check{out: out}},
+		{"diff", "Compare two documents", "Lists the changes that lead from document A to document B.", &diff{out: out}},
+		{"keys", "Make development certificates", "Makes a development authority where there is none, and a certificate of it for one process.", &keys{out: out}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			panic(err) // The commands are constant.
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return report(err, out, problems)
+}
+
+// report prints an error and returns its exit code.
+func report(err error, out, problems io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	if errors.Is(err, errDifferent) {
+		return exitDifferent
+	}
+	if invalid, ok := errors.AsType[*fileInvalidError](err); ok {
+		for _, p := range invalid.err.Problems {
+			_, _ = fmt.Fprintf(problems, "%s: %s\n", invalid.file, p)
+		}
+		if n := invalid.err.Omitted; n > 0 {
+			_, _ = fmt.Fprintf(problems, "%s: %d more problems\n", invalid.file, n)
+		}
+		return exitDifferent
+	}
+	if f, ok := errors.AsType[*flags.Error](err); ok {
+		if f.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(out, f.Message)
+			return exitOK
+		}
+		_, _ = fmt.Fprintln(problems, "damasktrail:", f.Message)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintln(problems, "damasktrail:", err)
+	if _, ok := errors.AsType[*usageError](err); ok {
+		return exitUsage
+	}
+	return exitFile
+}
+
+// fileInvalidError says that a file holds no valid document.
+type fileInvalidError struct {
+	file string
+	err  *document.InvalidError
+}
+
+// Error implements error.
+func (e *fileInvalidError) Error() string {
+	return e.file + ": " + e.err.Error()
+}
+
+// load reads and parses a document.
+func load(file string) (*document.Document, error) {
+	data, err := os.ReadFile(file) // #nosec G304 -- the operator names the file
+	if err != nil {
+		return nil, err
+	}
+	res, err := document.Parse(data)
+	if invalid, ok := errors.AsType[*document.InvalidError](err); ok {
+		return nil, &fileInvalidError{file: file, err: invalid}
+	}
+	return res, err
+}
