--- a/entry/peer.go
+++ b/entry/peer.go
@@ -123,11 +123,11 @@
 
 func (e *Entry) serveAccepted(conn *link.Conn) {
 	defer conn.Close("done")
-	control, err := conn.Accept(conn.Context())
+	stream, err := conn.Accept(conn.Context())
 	if err != nil {
 		return
 	}
-	raw, err := control.Receive()
+	raw, err := stream.Receive()
 	if err != nil {
 		return
 	}
@@ -136,7 +136,7 @@
 		e.metrics.Count("protocol_errors", 1)
 		return
 	}
-	s := e.newSession(conn, control, hello)
+	s := e.newSession(conn, stream, hello)
 	s.send(frame.KindHello, e.hello())
 	// News goes to peers that dialled this entry as well; they are not redialled
 	// from here.
