--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,101 @@
+package health_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/health"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func group(n int) (*health.Group, []string) {
+	g := health.New()
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("vm", i))
+	}
+	g.Retain(names)
+	return g, names
+}
+
+// Guards against keeping an agent that became slow, and against ejecting the
+// slower of two generations.
+func TestSlow(t *testing.T) {
+	g, names := group(6)
+	answer := func(times []int) {
+		for range 20 {
+			for i, n := range names {
+				g.Answer(n, time.Duration(times[i])*time.Millisecond, epoch)
+			}
+		}
+	}
+	answer([]int{20, 20, 20, 20, 40, 40})
+	for _, n := range names {
+		require.False(t, g.Ejected(n, epoch))
+	}
+	answer([]int{20, 20, 20, 20, 40, 400})
+	require.True(t, g.Ejected("vm5", epoch))
+	require.False(t, g.Ejected("vm4", epoch))
+	require.False(t, g.Ejected("vm5", epoch.Add(time.Hour)))
+}
+
+// Guards against taking out more than half of a model's agents.
+func TestAtMostHalf(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 10} {
+		g, names := group(n)
+		for range 50 {
+			for _, name := range names {
+				g.Fail(name, epoch)
+			}
+		}
+		out := 0
+		for _, name := range names {
+			if g.Ejected(name, epoch) {
+				out++
+			}
+		}
+		require.Equal(t, n/2, out)
+	}
+}
+
+// Guards against a failing agent staying in choice because slow ones fill the
+// half that may be out, and against endless ejection after one bad period.
+func TestWorstGoes(t *testing.T) {
+	g, names := group(4)
+	for range 10 {
+		for i, n := range names {
+			if i < 2 {
+				g.Answer(n, 20*time.Millisecond, epoch)
+			} else {
+				g.Answer(n, 200*time.Millisecond, epoch)
+			}
+		}
+	}
+	require.True(t, g.Ejected("vm2", epoch) && g.Ejected("vm3", epoch))
+	for range 5 {
+		g.Fail("vm1", epoch)
+	}
+	require.True(t, g.Ejected("vm1", epoch))
+	require.NotEqual(t, g.Ejected("vm2", epoch), g.Ejected("vm3", epoch))
+	for range 5 {
+		require.False(t, g.Ejected("vm1", epoch.Add(5*time.Second)))
+		g.Answer("vm1", 20*time.Millisecond, epoch.Add(5*time.Second))
+	}
+	require.False(t, g.Ejected("vm1", epoch.Add(5*time.Second)))
+}
+
+// Example shows an agent that fails being left out of choice.
+func Example() {
+	now := time.Unix(0, 0)
+	g := health.New()
+	g.Retain([]string{"vm1", "vm2"})
+	for range 5 {
+		g.Fail("vm2", now)
+	}
+	fmt.Println(g.Ejected("vm1", now), g.Ejected("vm2", now))
+	// Output: false true
+}
