Add the policies

Cause: an entry chooses an agent from old reports and its own sends. Change: package policy with round, least, choices and cost. Cost takes the shortest expected time, from remaining work less the age of the report, work sent since, speeds and cache share, at random among candidates that are nearly as good, the more so the older their reports are.

--- /dev/null
+++ b/policy/cost.go
@@ -0,0 +1,91 @@
+package policy
+
+import (
+	"math"
+
+	"damasktrail.dev"
+)
+
+const (
+	// defaultPrefill and defaultDecode are speeds in tokens per second, assumed
+	// for an agent that has not reported any while no other has either.
+	defaultPrefill = 8000
+	defaultDecode  = 1000
+	// spread is the share of the best candidate's time by which another may be
+	// worse and still be chosen often.
+	spread = 0.05
+	// doubt is the share of a report's age that is added to the spread: other
+	// entries sent work since then that this one does not know of.
+	doubt = 0.05
+	// maxDoubt bounds the age that counts, in seconds.
+	maxDoubt = 10
+)
+
+// cost takes the candidate with the shortest expected time, spread over those
+// that are nearly as good so that entries with the same old reports do not all
+// choose the same one.
+type cost struct{ draw draw }
+
+// Choose implements damasktrail.Policy.
+func (p *cost) Choose(r damasktrail.Request, candidates []damasktrail.Candidate) (index int, ok bool) {
+	if len(candidates) == 0 {
+		return 0, false
+	}
+	var buffer [320]float64
+	times := buffer[:0]
+	prefill, decode := speeds(candidates)
+	best := math.Inf(1)
+	for i := range candidates {
+		t := expected(&r, &candidates[i], prefill, decode)
+		times = append(times, t)
+		best = min(best, t)
+	}
+	sum := 0.0
+	for i, t := range times {
+		age := min(max(0, candidates[i].Age.Seconds()), maxDoubt)
+		w := math.Exp(-(t - best) / (spread*best + doubt*age + 1e-3))
+		times[i] = w
+		sum += w
+	}
+	x := p.draw.float() * sum
+	for i, w := range times {
+		if x -= w; x < 0 {
+			return i, true
+		}
+	}
+	return len(times) - 1, true
+}
+
+// speeds returns the mean speeds of the candidates that reported any.
+func speeds(candidates []damasktrail.Candidate) (prefill, decode float64) {
+	known := 0.0
+	for i := range candidates {
+		if l := &candidates[i].Load; l.PrefillRate > 0 && l.DecodeRate > 0 {
+			prefill += l.PrefillRate
+			decode += l.DecodeRate
+			known++
+		}
+	}
+	if known == 0 {
+		return defaultPrefill, defaultDecode
+	}
+	return prefill / known, decode / known
+}
+
+// expected returns the seconds until the request would be complete: the time
+// for the work that is there and the request's own.
+func expected(r *damasktrail.Request, c *damasktrail.Candidate, prefill, decode float64) float64 {
+	if c.Load.PrefillRate > 0 && c.Load.DecodeRate > 0 {
+		prefill, decode = c.Load.PrefillRate, c.Load.DecodeRate
+	}
+	// The endpoint has worked on what it reported since then.
+	ahead := float64(c.Load.Prefill+c.Sent.Prefill)/prefill + float64(c.Load.Decode+c.Sent.Decode)/decode
+	ahead = max(0, ahead-c.Age.Seconds())
+	own := float64(r.Cost.Prefill) * (1 - min(max(c.Cached, 0), 1)) / prefill
+	// Tokens of one answer come at the speed of all divided by their number.
+	inside := c.Load.Running + 1
+	if c.Load.Limit > 0 {
+		inside = min(inside, c.Load.Limit)
+	}
+	return ahead + own + float64(r.Cost.Decode)*float64(inside)/decode
+}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,129 @@
+package policy_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev"
+	"damasktrail.dev/policy"
+)
+
+func must(t require.TestingT, name string) damasktrail.Policy {
+	p, err := policy.New(name, 7)
+	require.NoError(t, err)
+	return p
+}
+
+// shares counts how often each candidate is chosen.
+func shares(t require.TestingT, p damasktrail.Policy, r damasktrail.Request, c []damasktrail.Candidate) []int {
+	res := make([]int, len(c))
+	for range 3000 {
+		i, ok := p.Choose(r, c)
+		require.True(t, ok)
+		res[i]++
+	}
+	return res
+}
+
+var request = damasktrail.Request{Cost: damasktrail.Cost{Prefill: 1000, Decode: 100}}
+
+func candidate(speed float64, prefill, decode int) damasktrail.Candidate {
+	return damasktrail.Candidate{Load: damasktrail.Load{
+		Prefill: prefill, Decode: decode, PrefillRate: 10000 * speed, DecodeRate: 1000 * speed,
+	}}
+}
+
+// Guards against a policy that ignores what it is meant to look at.
+func TestChoose(t *testing.T) {
+	idle := candidate(1, 0, 0)
+	busy := candidate(1, 50000, 5000)
+	sent := candidate(1, 0, 0)
+	sent.Sent = damasktrail.Cost{Prefill: 50000, Decode: 5000}
+	done := candidate(1, 50000, 5000)
+	done.Age = 10 * time.Second
+	cached := candidate(1, 0, 0)
+	cached.Cached = 1
+	long := damasktrail.Request{Cost: damasktrail.Cost{Prefill: 20000, Decode: 1}}
+	crowd := candidate(1, 0, 0)
+	crowd.Load.Running, crowd.Inflight = 9, 3
+	for _, tt := range []struct {
+		policy string
+		r      damasktrail.Request
+		c      []damasktrail.Candidate
+		want   []int
+	}{
+		{policy.Round, request, []damasktrail.Candidate{idle, busy, busy}, []int{1000, 1000, 1000}},
+		{policy.Least, request, []damasktrail.Candidate{idle, crowd, idle}, []int{1500, 0, 1500}},
+		{policy.Choices, request, []damasktrail.Candidate{idle, crowd}, []int{3000, 0}},
+		{policy.Choices, request, []damasktrail.Candidate{idle, crowd, idle}, []int{1500, 0, 1500}},
+		{policy.CostFor, request, []damasktrail.Candidate{idle, busy, idle}, []int{1500, 0, 1500}},
+		{policy.CostFor, request, []damasktrail.Candidate{idle, sent}, []int{3000, 0}},
+		{policy.CostFor, request, []damasktrail.Candidate{busy, done}, []int{0, 3000}},
+		{policy.CostFor, request, []damasktrail.Candidate{candidate(1, 0, 0), candidate(0.5, 0, 0)}, []int{3000, 0}},
+		{policy.CostFor, long, []damasktrail.Candidate{idle, cached}, []int{0, 3000}},
+		{policy.CostFor, request, []damasktrail.Candidate{{}, busy}, []int{3000, 0}},
+	} {
+		t.Run(tt.policy, func(t *testing.T) {
+			require.InDeltaSlice(t, tt.want, shares(t, must(t, tt.policy), tt.r, tt.c), 150)
+		})
+	}
+}
+
+// Guards against all entries choosing the same agent by the same old reports.
+func TestCostSpreadsWithAge(t *testing.T) {
+	c := []damasktrail.Candidate{candidate(1, 0, 0), candidate(1, 400, 40), candidate(1, 400, 40), candidate(1, 400, 40)}
+	for i := range c {
+		c[i].Age = 5 * time.Second
+	}
+	for _, n := range shares(t, must(t, policy.CostFor), request, c) {
+		require.InDelta(t, 750, n, 300)
+	}
+}
+
+// Guards against a choice among nothing and an unknown name.
+func TestNone(t *testing.T) {
+	for _, name := range []string{policy.Round, policy.Least, policy.Choices, policy.CostFor} {
+		_, ok := must(t, name).Choose(request, nil)
+		require.False(t, ok)
+	}
+	_, err := policy.New("best", 0)
+	var unknown *policy.NameError
+	require.ErrorAs(t, err, &unknown)
+}
+
+// BenchmarkChoose measures a choice among the 264 agents of an entry, drawn
+// from 12,000.
+func BenchmarkChoose(b *testing.B) {
+	fleet := make([]damasktrail.Candidate, 12000)
+	for i := range fleet {
+		fleet[i] = candidate(1+float64(i%2), i*7919%50000, i*104729%5000)
+		fleet[i].Age = time.Duration(i*31%10000) * time.Millisecond
+	}
+	subset := make([]damasktrail.Candidate, 264)
+	for i := range subset {
+		subset[i] = fleet[i*45]
+	}
+	for _, name := range []string{policy.Round, policy.Least, policy.Choices, policy.CostFor} {
+		b.Run(name, func(b *testing.B) {
+			p := must(b, name)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Choose(request, subset)
+			}
+		})
+	}
+}
+
+// Example chooses the idle one of two agents.
+func Example() {
+	p, _ := policy.New(policy.CostFor, 1)
+	i, ok := p.Choose(damasktrail.Request{Cost: damasktrail.Cost{Prefill: 100, Decode: 10}}, []damasktrail.Candidate{
+		{Agent: "vm1", Load: damasktrail.Load{Prefill: 90000, PrefillRate: 8000, DecodeRate: 1000}},
+		{Agent: "vm2", Load: damasktrail.Load{PrefillRate: 8000, DecodeRate: 1000}},
+	})
+	fmt.Println(i, ok)
+	// Output: 1 true
+}
