--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -52,7 +52,7 @@
 		select {
 		case <-wait.started:
 			a.post(func(c *control, now time.Time) { c.finish(w.id, now) })
-		case <-wait.refused:
+		case <-wait.refused: //nolint:errcheck // The refusal has no reader.
 		case <-a.tasks.Context().Done():
 		}
 		return
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -10,6 +10,7 @@
 	Listen    string        `long:"listen" env:"DAMASKTRAIL_LISTEN" default:"127.0.0.1:8090" description:"address for entries (UDP); one per endpoint VM"`
 	Admin     string        `long:"admin" env:"DAMASKTRAIL_ADMIN" default:"127.0.0.1:8091" description:"address for operators: health, readiness, metrics, status"`
 	Endpoint  string        `long:"endpoint" env:"DAMASKTRAIL_ENDPOINT" required:"true" description:"base URL of the endpoint"`
+	Kind      string        `long:"kind" env:"DAMASKTRAIL_KIND" default:"engine" choice:"engine" choice:"service" description:"kind of the endpoint"`
 	Authority string        `long:"ca" env:"DAMASKTRAIL_CA" required:"true" description:"file with the authority's certificates (PEM)"`
 	Cert      string        `long:"cert" env:"DAMASKTRAIL_CERT" required:"true" description:"file with this agent's certificate (PEM)"`
 	Key       string        `long:"key" env:"DAMASKTRAIL_KEY" required:"true" description:"file with this agent's private key (PEM)"`
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -1,4 +1,114 @@
-// Command placeholder.
+// Command entry takes callers' requests and sends them to agents.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
+
+	"damasktrail.dev"
+	"damasktrail.dev/admin"
+	"damasktrail.dev/certificate"
+	"damasktrail.dev/entry"
+	"damasktrail.dev/group"
+	"damasktrail.dev/platform"
+	"damasktrail.dev/set"
+	"damasktrail.dev/telemetry"
+	"damasktrail.dev/timer"
+)
+
+// watch is how long one read of the platform waits for news. It must stay below
+// the age after which other entries begin to read.
+const watch = time.Second
+
+func main() {
+	var s entry.Settings
+	if _, err := flags.Parse(&s); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(s),
+		fx.StopTimeout(s.Grace),
+		fx.Provide(newTasks, newClock, newLogger, newMetrics, newSource, newEntry),
+		fx.Invoke(serve),
+	)
+	if err := app.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		os.Exit(1)
+	}
+	app.Run()
+}
+
+func newTasks() *group.Group { return group.New(context.Background()) }
+
+func newClock(tasks *group.Group) damasktrail.Clock { return timer.New(tasks) }
+
+func newMetrics() (*telemetry.Metrics, error) { return telemetry.New("entry") }
+
+func newLogger(s entry.Settings) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Level)); err != nil {
+		return nil, err
+	}
+	return telemetry.Logger(os.Stderr, "entry", level), nil
+}
+
+func newSource(s entry.Settings) damasktrail.Source {
+	return platform.New(s.Platform, http.DefaultClient).WithWait(watch)
+}
+
+func newEntry(s entry.Settings, source damasktrail.Source, clock damasktrail.Clock, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) (*entry.Entry, error) {
+	files, err := certificate.Load(s.Authority, s.Cert, s.Key)
+	if err != nil {
+		return nil, err
+	}
+	t := entry.TLS{
+		Agents:  files.ClientConfig(certificate.RoleAgent),
+		Entries: files.ClientConfig(certificate.RoleEntry),
+		Listen:  files.ServerConfig(set.Of(certificate.RoleEntry)),
+	}
+	return entry.New(s, t, source, clock, tasks, m, log)
+}
+
+func serve(lc fx.Lifecycle, stop fx.Shutdowner, s entry.Settings, e *entry.Entry, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) error {
+	failed := func(err error) {
+		log.Error("listener failed", "error", err)
+		_ = stop.Shutdown(fx.ExitCode(1))
+	}
+	operators, err := admin.Listen(s.Admin, admin.New(e, m.Handler()), tasks, failed)
+	if err != nil {
+		return err
+	}
+	callers, err := admin.Listen(s.Callers, e.Callers(), tasks, failed)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			e.Start()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			if err := e.Drain(ctx); err != nil {
+				log.Error("drain incomplete", "error", err)
+			}
+			_ = callers.Shutdown(ctx)
+			_ = operators.Shutdown(ctx)
+			err := e.Close()
+			tasks.Close()
+			log.Info("stopped")
+			return err
+		},
+	})
+	return nil
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -30,72 +30,99 @@
 
 var table = crc64.MakeTable(crc64.ECMA)
 
+// progress is what a request has been through.
+type progress struct {
+	// excluded holds the agents that get no further attempt.
+	excluded map[string]bool
+	// uncertain says that an attempt may have run.
+	uncertain bool
+	// last is the refusal of the latest attempt, nil before the first.
+	last *damasktrail.Refusal
+	// stale counts attempts that met a newer document.
+	stale int
+	// raised says that the floor was raised for the request.
+	raised bool
+}
+
 // run serves a request: it chooses agents until one answers or no other attempt
 // is allowed. A nil result means that the whole answer was written.
 func (e *Entry) run(ctx context.Context, c *call, out *output) *damasktrail.Refusal {
 	if c.ticket != "" {
 		return e.runTicket(ctx, c, out)
 	}
-	var (
-		excluded  = map[string]bool{}
-		uncertain bool // An attempt may have run.
-		last      *damasktrail.Refusal
-		stale     int
-		raised    bool
-	)
+	p := &progress{excluded: map[string]bool{}}
 	for {
 		s := e.snapshot.Load()
 		if refusal := e.admissible(s, c); refusal != nil {
-			return settle(refusal, uncertain)
+			return settle(refusal, p.uncertain)
 		}
-		r := e.choose(s, c, excluded)
+		r := e.choose(s, c, p.excluded)
 		if r == nil {
-			if !raised && last != nil && last.Reason == damasktrail.ReasonFull && e.raise(ctx, s, c) {
-				raised = true
-				e.metrics.Retried(damasktrail.ReasonFull)
-				excluded = e.dispatchedOnly(excluded, uncertain)
+			if e.reopen(ctx, s, c, p) {
 				continue
 			}
-			return settle(noRoom(last), uncertain)
+			return settle(noRoom(p.last), p.uncertain)
 		}
 		out.reset()
-		refusal := e.attempt(ctx, s, c, r, out)
-		if refusal == nil {
+		p.last = e.attempt(ctx, s, c, r, out)
+		if p.last == nil {
 			return nil
 		}
-		last = refusal
 		if out.started() || ctx.Err() != nil {
-			return e.ended(ctx, refusal, uncertain)
+			return e.ended(ctx, p.last, p.uncertain)
 		}
-		if refusal.Outcome == damasktrail.Unknown {
-			uncertain = true
-			excluded[r.vm.Name] = true
-			if refusal.Reason == damasktrail.ReasonCrashed {
-				_ = e.clock.Sleep(ctx, crashWait)
-			}
-			if !c.idempotent {
-				return refusal
-			}
-			if !e.budgets.take(c.organisation.Name) {
-				e.metrics.Count("budget_spent", 1)
-				return refusal
-			}
-			e.metrics.Retried(refusal.Reason)
-			continue
+		if !e.again(ctx, c, r, p) {
+			return settle(p.last, p.uncertain)
 		}
-		switch refusal.Reason {
-		case damasktrail.ReasonStale:
-			if stale++; stale > staleTries {
-				return settle(refusal, uncertain)
-			}
-			e.catchUp(ctx, r)
-		case damasktrail.ReasonPoisoned, damasktrail.ReasonMalformed:
-			return settle(refusal, uncertain)
-		default:
-			excluded[r.vm.Name] = true
+		e.metrics.Retried(p.last.Reason)
+	}
+}
+
+// again reports whether another attempt is allowed after one at r failed.
+func (e *Entry) again(ctx context.Context, c *call, r *remote, p *progress) bool {
+	if p.last.Outcome == damasktrail.Unknown {
+		p.uncertain = true
+		p.excluded[r.vm.Name] = true
+		if p.last.Reason == damasktrail.ReasonCrashed {
+			_ = e.clock.Sleep(ctx, crashWait)
 		}
-		e.metrics.Retried(refusal.Reason)
+		if !c.idempotent {
+			return false
+		}
+		if !e.budgets.take(c.organisation.Name) {
+			e.metrics.Count("budget_spent", 1)
+			return false
+		}
+		return true
 	}
+	switch p.last.Reason {
+	case damasktrail.ReasonStale:
+		p.stale++
+		if p.stale > staleTries {
+			return false
+		}
+		e.catchUp(ctx, r)
+	case damasktrail.ReasonPoisoned, damasktrail.ReasonMalformed:
+		return false
+	default:
+		p.excluded[r.vm.Name] = true
+	}
+	return true
+}
+
+// reopen raises the floor when all agents were full, and allows one more round
+// over those that confirmed not to have run the request.
+func (e *Entry) reopen(ctx context.Context, s *snapshot, c *call, p *progress) bool {
+	if p.raised || p.uncertain || p.last == nil || p.last.Reason != damasktrail.ReasonFull {
+		return false
+	}
+	p.raised = true
+	if !e.raise(ctx, s, c) {
+		return false
+	}
+	e.metrics.Retried(damasktrail.ReasonFull)
+	p.excluded = map[string]bool{}
+	return true
 }
 
 // settle gives the outcome of all attempts together.
@@ -126,15 +153,6 @@
 	}
 }
 
-// dispatchedOnly allows another attempt at agents that confirmed not to have
-// run the request. When an attempt may have run, none is allowed.
-func (e *Entry) dispatchedOnly(excluded map[string]bool, uncertain bool) map[string]bool {
-	if uncertain {
-		return excluded
-	}
-	return map[string]bool{}
-}
-
 // admissible refuses what no agent needs to see.
 func (e *Entry) admissible(s *snapshot, c *call) *damasktrail.Refusal {
 	if _, found := s.poisoned[c.request.Fingerprint]; found {
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -196,7 +196,8 @@
 func (e *Entry) issue(ctx context.Context, c *call) (res struct {
 	Ticket  string
 	Expires int64
-}, refusal *damasktrail.Refusal) {
+}, refusal *damasktrail.Refusal,
+) {
 	excluded := map[string]bool{}
 	for {
 		s := e.snapshot.Load()
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"damasktrail.dev"
+)
+
+// Status is what an entry shows to operators.
+type Status struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+	Generation  uint64 `json:"generation"`
+	Members     uint64 `json:"members"`
+	// Contact is the age of the freshest known contact with the platform, in
+	// milliseconds.
+	Contact int64         `json:"contact"`
+	Open    int           `json:"open"`
+	Agents  []AgentStatus `json:"agents"`
+}
+
+// AgentStatus is one agent as an entry sees it.
+type AgentStatus struct {
+	Name     string           `json:"name"`
+	Target   string           `json:"target"`
+	State    string           `json:"state"`
+	Inflight int64            `json:"inflight"`
+	Load     damasktrail.Load `json:"load"`
+}
+
+// Status returns the state at this moment.
+func (e *Entry) Status() any {
+	res := Status{
+		Name:        e.settings.Name,
+		Incarnation: e.incarnation,
+		Generation:  e.rollout.Generation(),
+		Members:     e.rollout.Members(),
+		Contact:     e.clock.Now().Sub(time.Unix(0, e.contact.Load())).Milliseconds(),
+		Open:        e.gate.open(),
+		Agents:      []AgentStatus{},
+	}
+	s := e.snapshot.Load()
+	if s == nil {
+		return res
+	}
+	for target, list := range s.targets {
+		for _, r := range list {
+			res.Agents = append(res.Agents, r.status(target))
+		}
+	}
+	slices.SortFunc(res.Agents, func(a, b AgentStatus) int { return strings.Compare(a.Name, b.Name) })
+	return res
+}
+
+func (r *remote) status(target string) AgentStatus {
+	res := AgentStatus{Name: r.vm.Name, Target: target, State: "live", Inflight: r.inflight.Load()}
+	if l := r.latest.Load(); l != nil {
+		res.Load = l.load
+	}
+	switch {
+	case r.session.Load() == nil:
+		res.State = "unreachable"
+	case r.leaving.Load():
+		res.State = "leaving"
+	case !r.usable():
+		res.State = "unhealthy"
+	}
+	return res
+}
--- a/policy.go
+++ b/policy.go
@@ -31,20 +31,20 @@
 // heartbeats.
 type Load struct {
 	// Running and Waiting count the agent's requests.
-	Running int `cbor:"running"`
-	Waiting int `cbor:"waiting"`
+	Running int `cbor:"running" json:"running"`
+	Waiting int `cbor:"waiting" json:"waiting"`
 	// Prefill and Decode are the estimated tokens still to be processed by
 	// running and waiting requests.
-	Prefill int `cbor:"prefill"`
-	Decode  int `cbor:"decode"`
+	Prefill int `cbor:"prefill" json:"prefill"`
+	Decode  int `cbor:"decode" json:"decode"`
 	// Lowest is the rank of the lowest tier that is waiting; -1 when none waits.
-	Lowest int `cbor:"lowest"`
+	Lowest int `cbor:"lowest" json:"lowest"`
 	// Limit is the number of requests that the agent allows inside its endpoint.
-	Limit int `cbor:"limit"`
+	Limit int `cbor:"limit" json:"limit"`
 	// PrefillRate and DecodeRate are measured speeds in tokens per second over
 	// all running requests; zero when not yet known.
-	PrefillRate float64 `cbor:"prefillrate"`
-	DecodeRate  float64 `cbor:"decoderate"`
+	PrefillRate float64 `cbor:"prefillrate" json:"prefillrate"`
+	DecodeRate  float64 `cbor:"decoderate" json:"decoderate"`
 }
 
 // Candidate is one agent that could take a request.
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		// From 0 no history reaches, so the peer answers with the whole document.
 		r.count("rollout_gaps", 1)
-		return []Message{pull(frame.TopicDocument, 0)}, nil
+		return []Message{pull(frame.TopicDocument, 0)}, nil //nolint:nilerr // The whole document repairs it.
 	}
 	return nil, r.offerDocument(next)
 }
