Learn limits, speeds and lengths in agent and entry; bound retries in total

Saved up over 2,200 organisations the same budget allows 22,000 retries at once. Change: limit, estimate and health are wired in; the budget starts with 1 retry for an organisation and 10 in total, and keeps at most 100.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"damasktrail.dev/document"
 	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
+	"damasktrail.dev/limit"
 	"damasktrail.dev/link"
 	"damasktrail.dev/queue"
 	"damasktrail.dev/rollout"
@@ -32,6 +33,8 @@
 	// healthInterval and healthTimeout bound how long a dead endpoint gets work.
 	healthInterval = 500 * time.Millisecond
 	healthTimeout  = 2 * time.Second
+	// window is the length of one measurement of the endpoint's speed.
+	window = time.Second
 	// keptBytes bounds the answers kept for callers that send a ticket again.
 	keptBytes = 8 << 20
 	// commands is the room for events on the way to the control goroutine.
@@ -102,7 +105,7 @@
 		incarnation: incarnation,
 		events:      make(chan func(*control, time.Time), commands),
 		drained:     make(chan struct{}),
-		control: newControl(queue.Limits{Requests: s.Waiting, Prefill: s.Tokens}, s.Inflight,
+		control: newControl(queue.Limits{Requests: s.Waiting, Prefill: s.Tokens}, newLimit(s),
 			ticket.NewLedger(issuer, keptBytes), binary.BigEndian.Uint64(crash[:])),
 		issuer:     issuer,
 		entries:    map[*entryLink]struct{}{},
@@ -119,6 +122,7 @@
 	a.tasks.Go(a.follow)
 	a.clock.Subscribe(tick, func(time.Time) { a.post(a.expire) })
 	a.clock.Subscribe(healthInterval, a.check)
+	a.clock.Subscribe(window, func(time.Time) { a.post((*control).measure) })
 	a.clock.Subscribe(beatInterval, func(time.Time) { a.post(a.beatAll) })
 	a.clock.Subscribe(orderInterval, func(time.Time) { a.order() })
 	a.log.Info("started", "address", a.listener.Address(), "incarnation", a.incarnation)
@@ -231,3 +235,12 @@
 func (a *Agent) Close() error {
 	return a.listener.Close()
 }
+
+// newLimit returns the limit on requests inside the endpoint. A plain service
+// has no time between tokens to learn from; its limit stays where it starts.
+func newLimit(s Settings) *limit.Limit {
+	res := limit.Defaults()
+	res.Max = s.Inflight
+	res.Min = min(res.Min, s.Inflight)
+	return limit.New(res)
+}
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -51,7 +51,7 @@
 		a.post(func(c *control, now time.Time) { c.cancel(w.id, now) })
 		select {
 		case <-wait.started:
-			a.post(func(c *control, now time.Time) { c.finish(w.id, now) })
+			a.post(func(c *control, now time.Time) { c.finish(w, false, now) })
 		case <-wait.refused: //nolint:errcheck // The refusal has no reader.
 		case <-a.tasks.Context().Done():
 		}
@@ -78,6 +78,7 @@
 	return &work{
 		id:     id,
 		ticket: open.Ticket,
+		stream: open.Stream,
 		request: damasktrail.Request{
 			Organisation: open.Organisation,
 			Model:        open.Model,
@@ -183,7 +184,8 @@
 
 // run dispatches a request to the endpoint, once, and passes its answer to out.
 func (a *Agent) run(ctx context.Context, w *work, open frame.Open, out sink) (usage damasktrail.Usage, refusal *damasktrail.Refusal) {
-	defer a.post(func(c *control, now time.Time) { c.finish(w.id, now) })
+	whole := false
+	defer func() { a.post(func(c *control, now time.Time) { c.finish(w, whole, now) }) }()
 	answer, err := a.engine.Run(ctx, damasktrail.Call{
 		ID:     open.ID,
 		Method: open.Method,
@@ -202,11 +204,18 @@
 	for {
 		data, err := answer.Next()
 		if errors.Is(err, io.EOF) {
+			whole = true
+			if !open.Stream {
+				w.tokens.Store(int64(answer.Usage().Decode))
+			}
 			return answer.Usage(), nil
 		}
 		if err != nil {
 			return answer.Usage(), a.failure(ctx, w, err)
 		}
+		if open.Stream && w.tokens.Add(1) == 1 {
+			a.post(func(c *control, now time.Time) { c.began(w, now) })
+		}
 		if err := out.chunk(data); err != nil {
 			return answer.Usage(), cancelled()
 		}
--- a/agent/control.go
+++ b/agent/control.go
@@ -2,11 +2,13 @@
 
 import (
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"damasktrail.dev"
 	"damasktrail.dev/document"
 	"damasktrail.dev/frame"
+	"damasktrail.dev/limit"
 	"damasktrail.dev/queue"
 	"damasktrail.dev/suspect"
 	"damasktrail.dev/ticket"
@@ -28,10 +30,21 @@
 	request damasktrail.Request
 	// ticket is empty for an idempotent request.
 	ticket string
+	// stream says that the answer comes token by token.
+	stream bool
 	// start and refuse are called by the control goroutine; exactly one of them,
 	// once, and neither blocks.
 	start  func()
 	refuse func(*damasktrail.Refusal)
+
+	// dispatched and first are the times of dispatch and of the first token;
+	// zero before.
+	dispatched, first time.Time
+	// tokens counts the parts of the answer that were relayed, about one for each
+	// token. The runner adds, the control goroutine reads.
+	tokens atomic.Int64
+	// metered is how many of them the meter has seen.
+	metered int64
 }
 
 // control is the state that decides what the endpoint runs. It has one owner,
@@ -40,10 +53,11 @@
 	waiting *queue.Queue[*work]
 	// held are suspects that wait until no other suspect runs, oldest first.
 	held []*heldWork
-	// running maps the ids of dispatched requests; at most limit of them,
+	// running maps the ids of dispatched requests; at most the limit of them,
 	// unless the limit fell.
 	running  map[string]*work
-	limit    int
+	limit    *limit.Limit
+	meter    meter
 	ledger   *ticket.Ledger
 	suspects *suspect.List
 	// crash identifies the next crash of the endpoint.
@@ -61,11 +75,11 @@
 	deadline time.Time
 }
 
-func newControl(limits queue.Limits, limit int, ledger *ticket.Ledger, crash uint64) *control {
+func newControl(limits queue.Limits, l *limit.Limit, ledger *ticket.Ledger, crash uint64) *control {
 	return &control{
 		waiting:  queue.New[*work](limits),
 		running:  map[string]*work{},
-		limit:    limit,
+		limit:    l,
 		ledger:   ledger,
 		suspects: suspect.New(),
 		crash:    crash,
@@ -163,7 +177,8 @@
 
 // dispatch starts waiting requests while there is room inside the endpoint.
 func (c *control) dispatch(now time.Time) {
-	for c.healthy && len(c.running) < c.limit {
+	prefill, _ := c.meter.speed.Rates()
+	for c.healthy && c.limit.Admits(len(c.running), c.pending(prefill, now), prefill) {
 		w := c.next(now)
 		if w == nil {
 			return
@@ -175,6 +190,7 @@
 			})
 			continue
 		}
+		w.dispatched = now
 		c.running[w.id] = w
 		w.start()
 	}
@@ -215,9 +231,55 @@
 	return false
 }
 
-// finish removes a dispatched request that has ended in any way.
-func (c *control) finish(id string, now time.Time) {
-	delete(c.running, id)
+// pending returns the prefill tokens of running requests without a first token.
+// An answer in one piece does not show its first token; its prefill counts for
+// as long as it takes at the given rate in tokens per second.
+func (c *control) pending(rate float64, now time.Time) int {
+	res := 0
+	for _, w := range c.running {
+		if !w.first.IsZero() {
+			continue
+		}
+		tokens := w.request.Cost.Prefill
+		if !w.stream && rate > 0 && now.Sub(w.dispatched).Seconds() > float64(tokens)/rate {
+			continue
+		}
+		res += tokens
+	}
+	return res
+}
+
+// began records the first token of a running request.
+func (c *control) began(w *work, now time.Time) {
+	if w.first.IsZero() {
+		w.first = now
+		c.meter.prefill += float64(w.request.Cost.Prefill)
+		c.dispatch(now)
+	}
+}
+
+// finish removes a dispatched request that has ended in any way. Only a whole
+// answer says how long the endpoint takes between tokens.
+func (c *control) finish(w *work, whole bool, now time.Time) {
+	c.meter.take(w)
+	if whole && w.first.IsZero() {
+		c.meter.prefill += float64(w.request.Cost.Prefill)
+	}
+	delete(c.running, w.id)
+	if n := w.tokens.Load(); whole && n > 1 && !w.first.IsZero() {
+		c.limit.Observe(now.Sub(w.first)/time.Duration(n-1), len(c.running))
+	}
+	c.dispatch(now)
+}
+
+// measure ends a window of the speed measurement.
+func (c *control) measure(now time.Time) {
+	for _, w := range c.running {
+		c.meter.take(w)
+	}
+	c.meter.end(len(c.running) > 0, now)
+	prefill, decode := c.meter.speed.Rates()
+	c.waiting.SetRates(queue.Rates{Prefill: prefill, Decode: decode, Token: c.limit.Token()})
 	c.dispatch(now)
 }
 
@@ -321,18 +383,25 @@
 // load returns what the agent reports of itself.
 func (c *control) load() damasktrail.Load {
 	cost := c.waiting.Work()
-	for _, w := range c.running {
+	for _, w := range c.held {
 		cost.Prefill += w.request.Cost.Prefill
 		cost.Decode += w.request.Cost.Decode
 	}
+	for _, w := range c.running {
+		if w.first.IsZero() {
+			cost.Prefill += w.request.Cost.Prefill
+		}
+		cost.Decode += max(1, w.request.Cost.Decode-int(w.tokens.Load()))
+	}
 	res := damasktrail.Load{
 		Running: len(c.running),
 		Waiting: c.waiting.Len() + len(c.held),
 		Prefill: cost.Prefill,
 		Decode:  cost.Decode,
 		Lowest:  c.waiting.Lowest(),
-		Limit:   c.limit,
+		Limit:   c.limit.Value(),
 	}
+	res.PrefillRate, res.DecodeRate = c.meter.speed.Rates()
 	if !c.healthy {
 		res.Limit = 0
 	}
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -14,7 +14,7 @@
 	Authority string        `long:"ca" env:"DAMASKTRAIL_CA" required:"true" description:"file with the authority's certificates (PEM)"`
 	Cert      string        `long:"cert" env:"DAMASKTRAIL_CERT" required:"true" description:"file with this agent's certificate (PEM)"`
 	Key       string        `long:"key" env:"DAMASKTRAIL_KEY" required:"true" description:"file with this agent's private key (PEM)"`
-	Inflight  int           `long:"inflight" env:"DAMASKTRAIL_INFLIGHT" default:"16" description:"requests inside the endpoint at a time"`
+	Inflight  int           `long:"inflight" env:"DAMASKTRAIL_INFLIGHT" default:"256" description:"most requests inside the endpoint at a time; the limit in use is learned"`
 	Waiting   int           `long:"waiting" env:"DAMASKTRAIL_WAITING" default:"256" description:"requests waiting at a time"`
 	Tokens    int           `long:"tokens" env:"DAMASKTRAIL_TOKENS" default:"400000" description:"prompt tokens waiting at a time"`
 	Ticket    time.Duration `long:"ticket" env:"DAMASKTRAIL_TICKET" default:"15m" description:"life of a ticket"`
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -1,39 +1,61 @@
-// Package budget limits retries to a share of fresh requests, separately for
-// each organisation, so that retries cannot multiply an overload. It is pure
-// state without a clock. Start from [New].
+// Package budget limits retries to a share of fresh requests, so that retries
+// cannot multiply an overload. It is pure state without a clock. Start from
+// [New].
 package budget
 
-// The default of section 3.7 of the design page: a retry for each ten fresh
-// requests, and at most ten retries saved up.
 const (
+	// freshPerRetry is the number of fresh requests that pay for a retry.
 	freshPerRetry = 10
-	maxRetries    = 10
+	// maxRetries bounds what one organisation saves up.
+	maxRetries = 10
+	// maxTotal bounds what all organisations save up together. At 2,200
+	// organisations of which each saves 10, the loss of a region would otherwise
+	// allow 22,000 retries at an entry that gets 65 requests a second.
+	maxTotal = 100
+	// firstRetries and firstTotal are the credit at the start, so that a few
+	// requests can be retried before the share has built up.
+	firstRetries = 1
+	firstTotal   = 10
 )
 
-// Budget holds the retries that each organisation has left. It is not safe for
-// concurrent use.
+// Budget holds the retries that are left. It is not safe for concurrent use.
 type Budget struct {
-	// credit is in fresh requests, at most freshPerRetry*maxRetries.
+	// credit is in fresh requests, at most freshPerRetry*maxRetries for each
+	// organisation.
 	credit map[string]int
+	// total is in fresh requests, at most freshPerRetry*maxTotal.
+	total int
 }
 
-// New returns a budget in which every organisation starts without credit, so
-// that retries never exceed their share even after a restart.
+// New returns a budget with the credit for 10 retries, of which an organisation
+// can use one before it has made requests.
 func New() *Budget {
-	return &Budget{credit: make(map[string]int)}
+	return &Budget{credit: make(map[string]int), total: freshPerRetry * firstTotal}
 }
 
 // Fresh counts a request that is not a retry.
 func (b *Budget) Fresh(organisation string) {
-	b.credit[organisation] = min(b.credit[organisation]+1, freshPerRetry*maxRetries)
+	b.credit[organisation] = min(b.of(organisation)+1, freshPerRetry*maxRetries)
+	b.total = min(b.total+1, freshPerRetry*maxTotal)
 }
 
-// Take takes one retry and reports whether there was one.
+func (b *Budget) of(organisation string) int {
+	c, found := b.credit[organisation]
+	if !found {
+		return freshPerRetry * firstRetries
+	}
+	return c
+}
+
+// Take takes one retry and reports whether the organisation had one and all
+// organisations together had one.
 func (b *Budget) Take(organisation string) bool {
-	if b.credit[organisation] < freshPerRetry {
+	own := b.of(organisation)
+	if own < freshPerRetry || b.total < freshPerRetry {
 		return false
 	}
-	b.credit[organisation] -= freshPerRetry
+	b.credit[organisation] = own - freshPerRetry
+	b.total -= freshPerRetry
 	return true
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -83,13 +83,14 @@
 	if p.last.Outcome == damasktrail.Unknown {
 		p.uncertain = true
 		p.excluded[r.vm.Name] = true
+		e.learned.failed(c.target, r.vm.Name, e.clock.Now())
 		if p.last.Reason == damasktrail.ReasonCrashed {
 			_ = e.clock.Sleep(ctx, crashWait)
 		}
 		if !c.idempotent {
 			return false
 		}
-		if !e.budgets.take(c.organisation.Name) {
+		if !e.learned.retry(c.organisation.Name) {
 			e.metrics.Count("budget_spent", 1)
 			return false
 		}
@@ -182,7 +183,7 @@
 	var usable []*remote
 	var candidates []damasktrail.Candidate
 	for _, r := range s.targets[c.target] {
-		if !excluded[r.vm.Name] && r.usable() {
+		if !excluded[r.vm.Name] && r.usable() && !e.learned.ejected(c.target, r.vm.Name, now) {
 			usable = append(usable, r)
 			candidates = append(candidates, r.candidate(now))
 		}
@@ -370,6 +371,7 @@
 // receive relays the frames of an answer until its end.
 func (e *Entry) receive(c *call, r *remote, live *session, stream *link.Stream, out *output) *damasktrail.Refusal {
 	var chunks, sum uint64
+	var first time.Time
 	headed := false
 	for {
 		raw, err := stream.Receive()
@@ -391,7 +393,9 @@
 			if err != nil || !headed || m.Position != chunks {
 				return e.broken(err)
 			}
-			chunks++
+			if chunks++; chunks == 1 {
+				first = now
+			}
 			sum = crc64.Update(sum, table, m.Data)
 			if err := out.data(m.Data); err != nil {
 				return &damasktrail.Refusal{
@@ -404,6 +408,7 @@
 				return e.broken(err)
 			}
 			r.record(m.Load, now)
+			e.learned.answered(c, r.vm.Name, damasktrail.Usage{Prefill: m.Prefill, Decode: m.Decode}, interval(first, now, chunks), now)
 			if err := out.end(); err != nil {
 				return &damasktrail.Refusal{
 					Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.Unknown, Detail: "the caller is gone",
@@ -425,6 +430,16 @@
 	}
 }
 
+// interval returns the mean time between the parts of an answer, zero when there
+// are too few to tell.
+func interval(first, last time.Time, chunks uint64) time.Duration {
+	const enough = 4
+	if chunks < enough {
+		return 0
+	}
+	return last.Sub(first) / time.Duration(chunks-1)
+}
+
 // broken is the refusal after a frame that does not continue the answer.
 func (e *Entry) broken(err error) *damasktrail.Refusal {
 	e.metrics.Count("protocol_errors", 1)
--- a/entry/call.go
+++ b/entry/call.go
@@ -26,10 +26,6 @@
 )
 
 const (
-	// bytesPerToken converts a body's length into an estimate of prompt tokens.
-	bytesPerToken = 4
-	// defaultDecode is the estimate of an answer of unknown length, in tokens.
-	defaultDecode = 256
 	// prefixBytes is the start of a prompt that decides which agents may have
 	// its prefill cached.
 	prefixBytes = 1024
@@ -47,6 +43,8 @@
 	typ    string
 	body   []byte
 	stream bool
+	// longest bounds the answer in tokens; zero when the caller set no bound.
+	longest int
 	// idempotent says that the request may run twice.
 	idempotent bool
 	ticket     string
@@ -157,19 +155,19 @@
 		}
 	}
 	c.target, c.stream = m.Name, b.Stream
-	c.request.Cost.Decode = defaultDecode
-	if limit := max(b.MaxTokens, b.MaxCompletionTokens); limit > 0 {
-		c.request.Cost.Decode = min(limit, c.request.Cost.Decode)
-	}
+	c.longest = max(b.MaxTokens, b.MaxCompletionTokens)
 	return nil
 }
 
 // weigh sets what decisions need.
-func (c *call) weigh() {
+func (c *call) weigh(cost damasktrail.Cost) {
+	if c.longest > 0 {
+		cost.Decode = min(cost.Decode, c.longest)
+	}
+	c.request.Cost = cost
 	c.request.Organisation = c.organisation.Name
 	c.request.Model = c.target
 	c.request.Tier = c.tier.Rank
-	c.request.Cost.Prefill = max(1, len(c.body)/bytesPerToken)
 	c.request.Prefix = digest(c.target, prompt(c.body))
 	c.request.Fingerprint = digest(c.organisation.Name, c.target, c.path, string(c.body))
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -243,6 +243,7 @@
 		}
 	}
 	s.policy = c.policy
+	c.e.learned.retain(s.targets)
 	c.e.snapshot.Store(s)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,7 +64,7 @@
 	stopping atomic.Bool
 	gate     *gate
 	limits   *limits
-	budgets  *budgets
+	learned  *learned
 }
 
 // TLS holds the settings of an entry's connections.
@@ -104,7 +104,7 @@
 		events:      make(chan func(*control), events),
 		gate:        newGate(s.Open),
 		limits:      newLimits(),
-		budgets:     newBudgets(),
+		learned:     newLearned(),
 	}
 	return res, nil
 }
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -11,10 +11,6 @@
 const (
 	// retryFull is the advice when there is no room.
 	retryFull = time.Second
-	// budgetShare is what a fresh request adds to the retry budget, and
-	// budgetMax the most that is kept. See docs/design.md.
-	budgetShare = 0.1
-	budgetMax   = 10.0
 )
 
 // limits applies the rate and inflight limits of organisations at this entry.
@@ -71,35 +67,3 @@
 	defer l.mu.Unlock()
 	l.usage[organisation].open--
 }
-
-// budgets bounds retries as a share of fresh requests, per organisation.
-type budgets struct {
-	mu     sync.Mutex
-	tokens map[string]float64
-}
-
-func newBudgets() *budgets {
-	return &budgets{tokens: map[string]float64{}}
-}
-
-// fresh adds the share of a fresh request.
-func (b *budgets) fresh(organisation string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	held, found := b.tokens[organisation]
-	if !found {
-		held = budgetMax
-	}
-	b.tokens[organisation] = min(budgetMax, held+budgetShare)
-}
-
-// take pays for a retry and reports whether the budget allowed it.
-func (b *budgets) take(organisation string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens[organisation] < 1 {
-		return false
-	}
-	b.tokens[organisation]--
-	return true
-}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -99,7 +99,7 @@
 		e.refuse(g.Writer, c, refusal)
 		return
 	}
-	c.weigh()
+	c.weigh(e.learned.fresh(c.organisation.Name, c.target, len(c.body)))
 	if refusal := e.limits.enter(c.organisation, c.arrived); refusal != nil {
 		e.refuse(g.Writer, c, refusal)
 		return
@@ -111,7 +111,6 @@
 		return
 	}
 	defer pass.leave()
-	e.budgets.fresh(c.organisation.Name)
 	out := newOutput(g.Writer, c.stream, pass)
 	refusal = e.run(ctx, c, out)
 	switch {
@@ -183,7 +182,7 @@
 		e.refuse(g.Writer, c, refusal)
 		return
 	}
-	c.weigh()
+	c.weigh(damasktrail.Cost{})
 	t, refusal := e.issue(g.Request.Context(), c)
 	if refusal != nil {
 		e.refuse(g.Writer, c, refusal)
