--- a/document/difference.go
+++ b/document/difference.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"damasktrail.dev/internal/strict"
 )
 
 // The actions of an Operation.
@@ -116,9 +118,9 @@
 	if res.index.digest != x.Digest {
 		return nil, &DigestError{Generation: x.To, Want: x.Digest, Got: res.index.digest}
 	}
-	p := &problems{}
+	p := &strict.Problems{}
 	res.validate(p)
-	if err := p.err(); err != nil {
+	if err := invalid(p); err != nil {
 		return nil, err
 	}
 	return res, nil
@@ -219,9 +221,9 @@
 	return res, nil
 }
 
-var strict = newStrict()
+var decoding = newDecoding()
 
-func newStrict() cbor.DecMode {
+func newDecoding() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
@@ -245,7 +247,7 @@
 	if len(data) > MaxSize {
 		return Difference{}, &SizeError{Size: len(data)}
 	}
-	if err := strict.Unmarshal(data, &res); err != nil {
+	if err := decoding.Unmarshal(data, &res); err != nil {
 		return Difference{}, err
 	}
 	return res, nil
--- a/document/errors.go
+++ b/document/errors.go
@@ -3,28 +3,12 @@
 import (
 	"crypto/sha256"
 	"fmt"
-)
-
-// maxProblems bounds the list of an InvalidError: a wrong unit repeated over
-// thousands of items would otherwise fill the log.
-const maxProblems = 100
 
-// Problem is one fault of a document.
-type Problem struct {
-	// Path leads to the fault, as in organisations[2].tiers[0], by the order of
-	// the text; it is empty for the document as a whole.
-	Path string
-	// Message says what is wrong there.
-	Message string
-}
+	"damasktrail.dev/internal/strict"
+)
 
-// String returns path and message.
-func (p Problem) String() string {
-	if p.Path == "" {
-		return p.Message
-	}
-	return p.Path + ": " + p.Message
-}
+// Problem is one fault of a document, with its path.
+type Problem = strict.Problem
 
 // InvalidError says that a document is refused whole.
 type InvalidError struct {
@@ -36,11 +20,7 @@
 
 // Error implements error with the first problem and the number of the others.
 func (e *InvalidError) Error() string {
-	rest := len(e.Problems) - 1 + e.Omitted
-	if rest == 0 {
-		return fmt.Sprintf("document is invalid: %s", e.Problems[0])
-	}
-	return fmt.Sprintf("document is invalid: %s (and %d more problems)", e.Problems[0], rest)
+	return "document is invalid: " + (&strict.Problems{List: e.Problems, Omitted: e.Omitted}).String()
 }
 
 // OlderError says that an offered document is older than the one in force.
--- a/document/validate.go
+++ b/document/validate.go
@@ -8,6 +8,7 @@
 	"time"
 	"unicode"
 
+	"damasktrail.dev/internal/strict"
 	"damasktrail.dev/set"
 )
 
@@ -27,9 +28,12 @@
 	http.MethodDelete, http.MethodPatch, http.MethodPost,
 }
 
+// top is the location of the document itself.
+var top *strict.Location
+
 // validator checks one document.
 type validator struct {
-	*problems
+	*strict.Problems
 	document *Document
 	tiers    set.Set[string]
 	models   map[string]Model
@@ -37,13 +41,13 @@
 }
 
 // validate checks everything but the syntax.
-func (d *Document) validate(p *problems) {
-	v := &validator{problems: p, document: d}
+func (d *Document) validate(p *strict.Problems) {
+	v := &validator{Problems: p, document: d}
 	if d.Generation == 0 {
-		v.add((*location)(nil).at("generation"), "must be at least 1")
+		v.Add(top.At("generation"), "must be at least 1")
 	}
 	policies := []string{PolicyRound, PolicyLeast, PolicyChoices, PolicyCost}
-	v.choice((*location)(nil).at("policy"), d.Policy, policies)
+	v.choice(top.At("policy"), d.Policy, policies)
 	v.checkDomains()
 	v.checkTiers()
 	v.checkModels()
@@ -52,51 +56,51 @@
 	v.checkOrganisations()
 }
 
-func (v *validator) choice(l *location, value string, choices []string) {
+func (v *validator) choice(l *strict.Location, value string, choices []string) {
 	if !slices.Contains(choices, value) {
-		v.add(l, "%q is not one of %s", value, strings.Join(choices, ", "))
+		v.Add(l, "%q is not one of %s", value, strings.Join(choices, ", "))
 	}
 }
 
 // label checks the form of a name.
-func (v *validator) label(l *location, name string) {
+func (v *validator) label(l *strict.Location, name string) {
 	switch {
 	case name == "":
-		v.add(l, "must not be empty")
+		v.Add(l, "must not be empty")
 	case len(name) > maxName:
-		v.add(l, "has %d bytes, the limit is %d", len(name), maxName)
+		v.Add(l, "has %d bytes, the limit is %d", len(name), maxName)
 	case strings.TrimSpace(name) != name || strings.ContainsFunc(name, unprintable):
-		v.add(l, "%q has a control character or a space at its end", name)
+		v.Add(l, "%q has a control character or a space at its end", name)
 	}
 }
 
 func unprintable(r rune) bool { return !unicode.IsPrint(r) }
 
-func (v *validator) labels(l *location, names []string) {
+func (v *validator) labels(l *strict.Location, names []string) {
 	seen := make(set.Set[string], len(names))
 	for i, n := range names {
-		v.label(l.element(i), n)
+		v.label(l.Element(i), n)
 		if !seen.Add(n) {
-			v.add(l.element(i), "%q is given twice", n)
+			v.Add(l.Element(i), "%q is given twice", n)
 		}
 	}
 }
 
-func (v *validator) bounds(l *location, value, low, high int) {
+func (v *validator) bounds(l *strict.Location, value, low, high int) {
 	if value < low || value > high {
-		v.add(l, "%d is not between %d and %d", value, low, high)
+		v.Add(l, "%d is not between %d and %d", value, low, high)
 	}
 }
 
 // unique checks the names of a section and calls f for each item.
-func unique[T item](v *validator, section, kind string, values []T, f func(l *location, value T)) {
+func unique[T item](v *validator, section, kind string, values []T, f func(l *strict.Location, value T)) {
 	first := make(map[string]int, len(values))
-	root := (*location)(nil).at(section)
+	root := top.At(section)
 	for i, value := range values {
-		l := root.element(i)
-		v.label(l.at("name"), value.key())
+		l := root.Element(i)
+		v.label(l.At("name"), value.key())
 		if j, found := first[value.key()]; found {
-			v.add(l.at("name"), "%s %q already exists as %s", kind, value.key(), root.element(j))
+			v.Add(l.At("name"), "%s %q already exists as %s", kind, value.key(), root.Element(j))
 		} else {
 			first[value.key()] = i
 		}
@@ -105,102 +109,102 @@
 }
 
 func (v *validator) checkDomains() {
-	unique(v, "domains", "failure domain", v.document.Domains, func(l *location, d Domain) {
-		v.label(l.at("region"), d.Region)
+	unique(v, "domains", "failure domain", v.document.Domains, func(l *strict.Location, d Domain) {
+		v.label(l.At("region"), d.Region)
 	})
 }
 
 func (v *validator) checkTiers() {
 	tiers := v.document.Tiers
-	root := (*location)(nil).at("tiers")
+	root := top.At("tiers")
 	if len(tiers) == 0 {
-		v.add(root, "at least one tier is needed")
+		v.Add(root, "at least one tier is needed")
 	}
 	if len(tiers) > MaxTiers {
-		v.add(root, "%d tiers exceed the limit of %d", len(tiers), MaxTiers)
+		v.Add(root, "%d tiers exceed the limit of %d", len(tiers), MaxTiers)
 	}
 	v.tiers = set.Set[string]{}
 	ranks := map[int]string{}
-	unique(v, "tiers", "tier", tiers, func(l *location, t Tier) {
+	unique(v, "tiers", "tier", tiers, func(l *strict.Location, t Tier) {
 		v.tiers.Add(t.Name)
-		v.bounds(l.at("rank"), t.Rank, 0, len(tiers)-1)
+		v.bounds(l.At("rank"), t.Rank, 0, len(tiers)-1)
 		if other, found := ranks[t.Rank]; found {
-			v.add(l.at("rank"), "rank %d is that of tier %q", t.Rank, other)
+			v.Add(l.At("rank"), "rank %d is that of tier %q", t.Rank, other)
 		}
 		ranks[t.Rank] = t.Name
 		if t.Deadline <= 0 || t.Deadline > maxDeadline {
-			v.add(l.at("deadline"), "%s is not above zero and at most %s", t.Deadline, maxDeadline)
+			v.Add(l.At("deadline"), "%s is not above zero and at most %s", t.Deadline, maxDeadline)
 		}
 	})
 }
 
 func (v *validator) checkModels() {
 	v.models = make(map[string]Model, len(v.document.Models))
-	unique(v, "models", "model", v.document.Models, func(l *location, m Model) {
+	unique(v, "models", "model", v.document.Models, func(l *strict.Location, m Model) {
 		v.models[m.Name] = m
-		v.bounds(l.at("context"), m.Context, 1, maxContext)
-		v.labels(l.at("adapters"), m.Adapters)
-		v.labels(l.at("versions"), m.Versions)
+		v.bounds(l.At("context"), m.Context, 1, maxContext)
+		v.labels(l.At("adapters"), m.Adapters)
+		v.labels(l.At("versions"), m.Versions)
 	})
 }
 
 func (v *validator) checkSets() {
 	v.sets = make(map[string]Set, len(v.document.Sets))
-	unique(v, "sets", "set", v.document.Sets, func(l *location, s Set) {
+	unique(v, "sets", "set", v.document.Sets, func(l *strict.Location, s Set) {
 		v.sets[s.Name] = s
 		switch s.Kind {
 		case KindEngine:
 			v.checkEngine(l, s)
 		case KindService:
 			if s.Model != "" || len(s.Adapters) > 0 || s.Version != "" || s.Role != "" || s.Fencing {
-				v.add(l, "a set of kind service has no model, adapters, version, role or fencing")
+				v.Add(l, "a set of kind service has no model, adapters, version, role or fencing")
 			}
 			if _, found := v.models[s.Name]; found {
-				v.add(l.at("name"), "%q is also the name of a model", s.Name)
+				v.Add(l.At("name"), "%q is also the name of a model", s.Name)
 			}
 		default:
-			v.choice(l.at("kind"), s.Kind, []string{KindEngine, KindService})
+			v.choice(l.At("kind"), s.Kind, []string{KindEngine, KindService})
 		}
 	})
 }
 
-func (v *validator) checkEngine(l *location, s Set) {
-	v.choice(l.at("role"), s.Role, []string{RoleBoth, RolePrefill, RoleDecode})
-	v.labels(l.at("adapters"), s.Adapters)
+func (v *validator) checkEngine(l *strict.Location, s Set) {
+	v.choice(l.At("role"), s.Role, []string{RoleBoth, RolePrefill, RoleDecode})
+	v.labels(l.At("adapters"), s.Adapters)
 	m, found := v.models[s.Model]
 	if !found {
-		v.add(l.at("model"), "model %q does not exist", s.Model)
+		v.Add(l.At("model"), "model %q does not exist", s.Model)
 		return
 	}
 	for i, a := range s.Adapters {
 		if !slices.Contains(m.Adapters, a) {
-			v.add(l.at("adapters").element(i), "model %q has no adapter %q", s.Model, a)
+			v.Add(l.At("adapters").Element(i), "model %q has no adapter %q", s.Model, a)
 		}
 	}
 	if !slices.Contains(m.Versions, s.Version) && (s.Version != "" || len(m.Versions) > 0) {
-		v.add(l.at("version"), "model %q has no version %q", s.Model, s.Version)
+		v.Add(l.At("version"), "model %q has no version %q", s.Model, s.Version)
 	}
 }
 
 func (v *validator) checkServices() {
-	unique(v, "services", "service", v.document.Services, func(l *location, s Service) {
+	unique(v, "services", "service", v.document.Services, func(l *strict.Location, s Service) {
 		// The name is one segment of the callers' path.
 		if strings.ContainsFunc(s.Name, notSegment) {
-			v.add(l.at("name"), "%q has a character other than letters, digits, '.', '_' and '-'", s.Name)
+			v.Add(l.At("name"), "%q has a character other than letters, digits, '.', '_' and '-'", s.Name)
 		}
 		// Floors and counters name the target of a request, model or service.
 		if _, found := v.models[s.Name]; found {
-			v.add(l.at("name"), "%q is also the name of a model", s.Name)
+			v.Add(l.At("name"), "%q is also the name of a model", s.Name)
 		}
 		switch target, found := v.sets[s.Set]; {
 		case !found:
-			v.add(l.at("set"), "set %q does not exist", s.Set)
+			v.Add(l.At("set"), "set %q does not exist", s.Set)
 		case target.Kind != KindService:
-			v.add(l.at("set"), "set %q is not of kind service", s.Set)
+			v.Add(l.At("set"), "set %q is not of kind service", s.Set)
 		}
-		v.labels(l.at("idempotent"), s.Idempotent)
+		v.labels(l.At("idempotent"), s.Idempotent)
 		for i, m := range s.Idempotent {
-			v.choice(l.at("idempotent").element(i), m, methods)
+			v.choice(l.At("idempotent").Element(i), m, methods)
 		}
 	})
 }
@@ -211,32 +215,32 @@
 
 func (v *validator) checkOrganisations() {
 	owners := make(map[[sha256.Size]byte]string, len(v.document.Organisations))
-	unique(v, "organisations", "organisation", v.document.Organisations, func(l *location, o Organisation) {
+	unique(v, "organisations", "organisation", v.document.Organisations, func(l *strict.Location, o Organisation) {
 		for i, k := range o.Keys {
 			sum, ok := parseKey(k)
 			if !ok {
-				v.add(l.at("keys").element(i), `must be "sha256:" and 64 digits in lower-case hex`)
+				v.Add(l.At("keys").Element(i), `must be "sha256:" and 64 digits in lower-case hex`)
 				continue
 			}
 			if owner, found := owners[sum]; found {
-				v.add(l.at("keys").element(i), "key already belongs to organisation %q", owner)
+				v.Add(l.At("keys").Element(i), "key already belongs to organisation %q", owner)
 			}
 			owners[sum] = o.Name
 		}
 		if len(o.Tiers) == 0 {
-			v.add(l.at("tiers"), "at least one tier is needed")
+			v.Add(l.At("tiers"), "at least one tier is needed")
 		}
-		v.labels(l.at("tiers"), o.Tiers)
+		v.labels(l.At("tiers"), o.Tiers)
 		for i, t := range o.Tiers {
 			if !v.tiers.Has(t) {
-				v.add(l.at("tiers").element(i), "tier %q does not exist", t)
+				v.Add(l.At("tiers").Element(i), "tier %q does not exist", t)
 			}
 		}
-		v.bounds(l.at("share"), o.Share, 1, maxShare)
-		v.bounds(l.at("inflight"), o.Inflight, 1, maxInflight)
+		v.bounds(l.At("share"), o.Share, 1, maxShare)
+		v.bounds(l.At("inflight"), o.Inflight, 1, maxInflight)
 		// The negated form also refuses NaN, which a difference could carry.
 		if !(o.Rate > 0 && o.Rate <= maxRate) {
-			v.add(l.at("rate"), "%v requests/s is not above 0 and at most %d", o.Rate, maxRate)
+			v.Add(l.At("rate"), "%v requests/s is not above 0 and at most %d", o.Rate, maxRate)
 		}
 	})
 }
--- /dev/null
+++ b/internal/strict/strict_test.go
@@ -0,0 +1,54 @@
+package strict_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/internal/strict"
+)
+
+type value struct {
+	Name  string        `json:"name"`
+	Count int           `json:"count"`
+	Wait  time.Duration `json:"wait"`
+	Parts []value       `json:"parts,omitempty"`
+	// Hidden has no JSON name and must not be reachable.
+	Hidden string
+}
+
+// Guards against leniencies of encoding/json that would hide a typing mistake.
+func TestRead(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"valid":           {`{"name": "a", "count": -3, "wait": "1m30s", "parts": [{"name": "b"}]}`, ""},
+		"other case":      {`{"Name": "a"}`, "Name: field does not exist"},
+		"field name":      {`{"Hidden": "a"}`, "Hidden: field does not exist"},
+		"empty name":      {`{"": "a"}`, "field does not exist"},
+		"null":            {`{"parts": [null]}`, "parts[0]: must be an object, is null"},
+		"twice":           {`{"parts": [{"name": "a", "name": "b"}]}`, `parts[0].name: key "name" is given twice`},
+		"escaped twice":   {`{"name": "a", "n\u0061me": "b"}`, `name: key "name" is given twice`},
+		"exponent":        {`{"count": 1e2}`, "count: 1e2 is not a whole number in range"},
+		"beyond int":      {`{"count": 9223372036854775808}`, "count: 9223372036854775808 is not a whole number in range"},
+		"no object":       {`[]`, "must be an object, is a list"},
+		"trailing":        {`{} {}`, "line 1, column 4: invalid character '{' after top-level value"},
+		"empty":           {``, "line 1, column 1: unexpected end of JSON input"},
+		"deep":            {strings.Repeat("[", 20_000), "exceeded max depth"},
+		"long":            {strings.Repeat(" ", 1<<16) + "{}", "65538 bytes exceed the limit of 65536"},
+		"problem in part": {`{"parts": [{"name": "b"}, {"wait": "5"}]}`, `parts[1].wait: "5" is not a duration`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &strict.Problems{}
+			var v value
+			strict.Read([]byte(c.text), 1<<16, &v, p)
+			if c.want == "" {
+				require.Empty(t, p.List)
+				require.Equal(t, value{Name: "a", Count: -3, Wait: 90 * time.Second, Parts: []value{{Name: "b"}}}, v)
+				return
+			}
+			require.NotEmpty(t, p.List)
+			require.Contains(t, p.String(), c.want)
+		})
+	}
+}
