Connect each agent to its first three entries

Cause: at 540 entries and 12,000 agents the first ranked entry of 68 agents, the second of 255 and the third of 567 had no link to them, and one agent had two entries only. Those entries push changes at once. Change: an entry also connects to the agents of which it is one of the first three entries. Entries has no fallback to other regions any more, so that its first three always have the agent in their subset. Result: no ranked entry lacks its link, each agent has 3 to 25 entries, and an entry has at most 271 links instead of 264. Tests of evenness and churn pass. The loss of a failure domain ends 284 of 850 links and makes 282 new ones. A subset takes 2.7 ms, the entries of an agent 0.085 ms, parsing the list of 12,540 VMs (977,152 bytes) 191 ms. Conclusion: ranks are exact without computing the subsets of other entries. Parsing the list is too slow for its rate of change.

--- a/member/list.go
+++ b/member/list.go
@@ -5,15 +5,13 @@
 package member
 
 import (
-	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"net/netip"
 	"slices"
+
+	"damasktrail.dev/internal/strict"
 )
 
 // MaxSize is the largest list in bytes, the largest value of the platform.
@@ -60,25 +58,12 @@
 	digest    [sha256.Size]byte
 }
 
-// maxProblems bounds the list of an InvalidError.
-const maxProblems = 100
-
-// Problem is one fault of a list.
-type Problem struct {
-	// Path leads to the fault, as in vms[2].address.
-	Path string
-	// Message says what is wrong there.
-	Message string
-}
-
-// String returns path and message.
-func (p Problem) String() string {
-	return p.Path + ": " + p.Message
-}
+// Problem is one fault of a list, with its path.
+type Problem = strict.Problem
 
 // InvalidError says that a list is refused whole.
 type InvalidError struct {
-	// Problems has 1 to 100 entries in the order of the text.
+	// Problems has 1 to 100 entries in the order in which they were found.
 	Problems []Problem
 	// Omitted counts the problems beyond these.
 	Omitted int
@@ -86,60 +71,47 @@
 
 // Error implements error with the first problem and the number of the others.
 func (e *InvalidError) Error() string {
-	rest := len(e.Problems) - 1 + e.Omitted
-	if rest == 0 {
-		return fmt.Sprintf("VM list is invalid: %s", e.Problems[0])
-	}
-	return fmt.Sprintf("VM list is invalid: %s (and %d more problems)", e.Problems[0], rest)
-}
-
-func (e *InvalidError) add(path, format string, args ...any) {
-	if len(e.Problems) == maxProblems {
-		e.Omitted++
-		return
-	}
-	e.Problems = append(e.Problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+	return "VM list is invalid: " + (&strict.Problems{List: e.Problems, Omitted: e.Omitted}).String()
 }
 
-// Parse reads a list of at most MaxSize and validates it whole. Unknown fields
-// and trailing data are refused. Names of failure domains and sets are not
-// checked, since the document is published apart from the list and may be older
-// or newer.
+// Parse reads a list of at most MaxSize and validates it whole. The error is an
+// [*InvalidError]. Names of failure domains and sets are not checked, since the
+// document is published apart from the list and may be older or newer.
 func Parse(data []byte) (*List, error) {
-	if len(data) > MaxSize {
-		return nil, fmt.Errorf("VM list of %d bytes exceeds the limit of %d", len(data), MaxSize)
-	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	res := &List{}
-	if err := d.Decode(res); err != nil {
-		return nil, fmt.Errorf("read VM list: %w", err)
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.New("read VM list: data after the list")
+	p := &strict.Problems{}
+	var raw List
+	if !strict.Read(data, MaxSize, &raw, p) {
+		return nil, &InvalidError{Problems: p.List, Omitted: p.Omitted}
 	}
-	return New(res.Version, res.VMs)
+	return build(raw.Version, raw.VMs, p)
 }
 
 // New returns a list of the given VMs. The error is an [*InvalidError].
 func New(version uint64, vms []VM) (*List, error) {
-	problems := &InvalidError{}
+	return build(version, slices.Clone(vms), &strict.Problems{})
+}
+
+// build takes over vms.
+func build(version uint64, vms []VM, p *strict.Problems) (*List, error) {
+	var top *strict.Location
 	if version == 0 {
-		problems.add("version", "must be at least 1")
+		p.Add(top.At("version"), "must be at least 1")
 	}
-	res := &List{Version: version, VMs: slices.Clone(vms), positions: make(map[string]int, len(vms))}
+	res := &List{Version: version, VMs: vms, positions: make(map[string]int, len(vms))}
+	root := top.At("vms")
 	for i := range res.VMs {
 		v := &res.VMs[i]
 		v.Role = cmp.Or(v.Role, RoleAgent)
 		v.State = cmp.Or(v.State, StateLive)
+		l := root.Element(i)
 		if j, found := res.positions[v.Name]; found {
-			problems.add(fmt.Sprintf("vms[%d].name", i), "VM %q already exists as vms[%d]", v.Name, j)
+			p.Add(l.At("name"), "VM %q already exists as %s", v.Name, root.Element(j))
 		}
 		res.positions[v.Name] = i
-		v.check(i, problems)
+		v.check(l, p)
 	}
-	if len(problems.Problems) > 0 {
-		return nil, problems
+	if len(p.List) > 0 {
+		return nil, &InvalidError{Problems: p.List, Omitted: p.Omitted}
 	}
 	slices.SortFunc(res.VMs, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
 	for i, v := range res.VMs {
@@ -149,27 +121,24 @@
 	return res, nil
 }
 
-func (v VM) check(i int, problems *InvalidError) {
-	add := func(field, format string, args ...any) {
-		problems.add(fmt.Sprintf("vms[%d].%s", i, field), format, args...)
-	}
+func (v VM) check(l *strict.Location, p *strict.Problems) {
 	if v.Name == "" {
-		add("name", "must not be empty")
+		p.Add(l.At("name"), "must not be empty")
 	}
 	if v.Domain == "" {
-		add("domain", "must not be empty")
+		p.Add(l.At("domain"), "must not be empty")
 	}
 	if v.Role != RoleEntry && v.Role != RoleAgent {
-		add("role", "%q is not one of entry, agent", v.Role)
+		p.Add(l.At("role"), "%q is not one of entry, agent", v.Role)
 	}
 	if v.State != StateLive && v.State != StateLeaving {
-		add("state", "%q is not one of live, leaving", v.State)
+		p.Add(l.At("state"), "%q is not one of live, leaving", v.State)
 	}
 	if (v.Set == "") != (v.Role == RoleEntry) {
-		add("set", "an agent has a set and an entry has none, role is %q and set is %q", v.Role, v.Set)
+		p.Add(l.At("set"), "an agent has a set and an entry has none, role is %q and set is %q", v.Role, v.Set)
 	}
 	if a, err := netip.ParseAddrPort(v.Address); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
-		add("address", "%q is not an IP number and port", v.Address)
+		p.Add(l.At("address"), "%q is not an IP number and port", v.Address)
 	}
 }
 
--- a/member/rank.go
+++ b/member/rank.go
@@ -9,12 +9,19 @@
 	"github.com/cespare/xxhash/v2"
 
 	"damasktrail.dev/document"
+	"damasktrail.dev/set"
 )
 
 // SmallSet is the number of agents of a target below which an entry connects to
 // all of them.
 const SmallSet = 16
 
+// Sponsors is the number of entries that connect to an agent by the agent's
+// own order, whatever their subset. Without them 68 of 12,000 agents had no link
+// to their first entry, which pushes changes to them, and the chance that some
+// agent has no entry at all was about 3%.
+const Sponsors = 3
+
 // SlotLength is the time for which a reader is on duty.
 const SlotLength = time.Minute
 
@@ -36,27 +43,32 @@
 
 // ranked is a VM with its rank for one chooser.
 type ranked struct {
-	vm   VM
+	vm   *VM
 	rank uint64
 }
 
-// sortRanked orders by falling rank. The name decides between equal ranks, so
-// that all processes have one order.
+// before orders by falling rank. The name decides between equal ranks, so that
+// all processes have one order.
+func (r ranked) before(o ranked) bool {
+	return r.rank > o.rank || r.rank == o.rank && r.vm.Name < o.vm.Name
+}
+
 func sortRanked(list []ranked) {
 	slices.SortFunc(list, func(a, b ranked) int {
-		if a.rank != b.rank {
-			return cmp.Compare(b.rank, a.rank)
+		if a.before(b) {
+			return -1
 		}
-		return cmp.Compare(a.vm.Name, b.vm.Name)
+		return 1
 	})
 }
 
+// first returns the n VMs with the highest rank.
 func first(list []ranked, n int) []VM {
 	sortRanked(list)
 	list = list[:max(0, min(n, len(list)))]
 	res := make([]VM, len(list))
 	for i, r := range list {
-		res[i] = r.vm
+		res[i] = *r.vm
 	}
 	return res
 }
@@ -72,114 +84,148 @@
 	return res
 }
 
+// entries returns the live entries of a region.
+func (r regions) entries(list *List, region string) []*VM {
+	var res []*VM
+	for i := range list.VMs {
+		if v := &list.VMs[i]; v.Role == RoleEntry && v.State == StateLive && r[v.Domain] == region {
+			res = append(res, v)
+		}
+	}
+	return res
+}
+
 // Readers returns the n entries of the region that read the platform in the
 // time slot, highest rank first. Leaving entries have no duty.
 func Readers(list *List, d *document.Document, region string, slot int64, n int) []VM {
-	where := regionsOf(d)
 	chooser := strconv.FormatInt(slot, 10)
 	var candidates []ranked
-	for _, v := range list.VMs {
-		if v.Role == RoleEntry && v.State == StateLive && where[v.Domain] == region {
-			candidates = append(candidates, ranked{v, Rank(chooser, v.Name)})
-		}
+	for _, v := range regionsOf(d).entries(list, region) {
+		candidates = append(candidates, ranked{v, Rank(chooser, v.Name)})
 	}
 	return first(candidates, n)
 }
 
-// Entries returns the n live entries with the highest rank for the agent. They
-// are those of the agent's region, or of all regions when it has none.
-//
-// The rank is the one by which [Subset] chooses. So the first of them have the
-// agent in their subset nearly always, though Entries does not compute the
-// subsets of all entries to be sure.
+// Entries returns the n live entries of the agent's region with the highest
+// rank for the agent, the first first. [Subset] of the first [Sponsors] of them
+// has the agent.
 func Entries(list *List, d *document.Document, agent VM, n int) []VM {
 	where := regionsOf(d)
-	var near, far []ranked
-	for _, v := range list.VMs {
-		if v.Role != RoleEntry || v.State != StateLive {
-			continue
-		}
-		r := ranked{v, Rank(v.Name, agent.Name)}
-		if where[v.Domain] == where[agent.Domain] {
-			near = append(near, r)
-		} else {
-			far = append(far, r)
-		}
-	}
-	if len(near) == 0 {
-		near = far
+	var candidates []ranked
+	for _, v := range where.entries(list, where[agent.Domain]) {
+		candidates = append(candidates, ranked{v, Rank(v.Name, agent.Name)})
 	}
-	return first(near, n)
+	return first(candidates, n)
 }
 
 // target is the live agents of one model or service set.
 type target struct {
 	// near are in the entry's region, far in all others.
-	near, far []ranked
+	near, far []*VM
 }
 
-// Subset returns the agents that an entry connects to, sorted by name: for each
-// model and each set of services, size agents of the entry's region, in equal
-// parts per failure domain, those with the highest rank in each. Below
-// [SmallSet] agents it is all of them. Where the region has no live agent, the
-// agents of all other regions take their place. Leaving VMs and VMs of unknown
-// sets are left out.
+// Subset returns the agents that an entry connects to, sorted by name. For each
+// model and each set of services these are
+//
+//   - size agents of the entry's region, in equal parts per failure domain,
+//     those with the highest rank in each; all agents when there are fewer than
+//     [SmallSet];
+//   - the agents for which the entry is one of the first [Sponsors] of
+//     [Entries];
+//   - where the region has no live agent, size agents of all other regions in
+//     the same way.
+//
+// Leaving VMs and VMs of sets that the document lacks are left out.
 func Subset(entry VM, list *List, d *document.Document, size int) []VM {
 	where := regionsOf(d)
-	home := where[entry.Domain]
-	targets := map[string]*target{}
+	peers := where.entries(list, where[entry.Domain])
+	var res []VM
+	for _, t := range targets(where[entry.Domain], where, list, d) {
+		if len(t.near) == 0 {
+			res = append(res, choose(entry.Name, t.far, size)...)
+			continue
+		}
+		chosen := choose(entry.Name, t.near, size)
+		res = append(res, chosen...)
+		if len(chosen) == len(t.near) {
+			continue
+		}
+		has := make(set.Set[string], len(chosen))
+		for _, v := range chosen {
+			has.Add(v.Name)
+		}
+		for _, v := range t.near {
+			if !has.Has(v.Name) && sponsors(&entry, v, peers) {
+				res = append(res, *v)
+			}
+		}
+	}
+	slices.SortFunc(res, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+	return res
+}
+
+// targets sorts the live agents by what callers name to reach them.
+func targets(home string, where regions, list *List, d *document.Document) map[string]*target {
+	res := map[string]*target{}
 	bySet := make(map[string]*target, len(d.Sets))
 	for _, s := range d.Sets {
 		// A service set may not have the name of a model, so keys do not collide.
-		t := targets[s.Target()]
+		t := res[s.Target()]
 		if t == nil {
 			t = &target{}
-			targets[s.Target()] = t
+			res[s.Target()] = t
 		}
 		bySet[s.Name] = t
 	}
-	for _, v := range list.VMs {
+	for i := range list.VMs {
+		v := &list.VMs[i]
 		if v.Role != RoleAgent || v.State != StateLive {
 			continue
 		}
-		t := bySet[v.Set]
-		if t == nil {
-			continue
-		}
-		r := ranked{vm: v}
-		if where[v.Domain] == home {
-			t.near = append(t.near, r)
-		} else {
-			t.far = append(t.far, r)
+		switch t := bySet[v.Set]; {
+		case t == nil:
+		case where[v.Domain] == home:
+			t.near = append(t.near, v)
+		default:
+			t.far = append(t.far, v)
 		}
 	}
-	var res []VM
-	for _, t := range targets {
-		candidates := t.near
-		if len(candidates) == 0 {
-			candidates = t.far
+	return res
+}
+
+// sponsors reports whether fewer than Sponsors of the peers come before the
+// entry in the order of the agent's entries.
+func sponsors(entry, agent *VM, peers []*VM) bool {
+	own := ranked{entry, Rank(entry.Name, agent.Name)}
+	ahead := 0
+	for _, p := range peers {
+		if (ranked{p, Rank(p.Name, agent.Name)}).before(own) {
+			if ahead++; ahead == Sponsors {
+				return false
+			}
 		}
-		res = append(res, choose(entry.Name, candidates, size)...)
 	}
-	slices.SortFunc(res, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
-	return res
+	return true
 }
 
 // choose takes one agent per failure domain in turn until it has size. The
 // order of the domains is the entry's own, so that over all entries no domain
 // gets more than its part of the remainder.
-func choose(entry string, candidates []ranked, size int) []VM {
-	if len(candidates) < SmallSet || len(candidates) <= size {
-		return first(candidates, len(candidates))
+func choose(entry string, candidates []*VM, size int) []VM {
+	all := make([]ranked, len(candidates))
+	for i, v := range candidates {
+		all[i] = ranked{v, Rank(entry, v.Name)}
+	}
+	if len(all) < SmallSet || len(all) <= size {
+		return first(all, len(all))
 	}
+	sortRanked(all)
 	byDomain := map[string][]ranked{}
-	for _, r := range candidates {
-		r.rank = Rank(entry, r.vm.Name)
+	for _, r := range all {
 		byDomain[r.vm.Domain] = append(byDomain[r.vm.Domain], r)
 	}
 	domains := make([]string, 0, len(byDomain))
-	for name, list := range byDomain {
-		sortRanked(list)
+	for name := range byDomain {
 		domains = append(domains, name)
 	}
 	slices.SortFunc(domains, func(a, b string) int {
@@ -192,7 +238,7 @@
 	for round := 0; len(res) < size; round++ {
 		for _, name := range domains {
 			if list := byDomain[name]; round < len(list) && len(res) < size {
-				res = append(res, list[round].vm)
+				res = append(res, *list[round].vm)
 			}
 		}
 	}
--- /dev/null
+++ b/member/rank_test.go
@@ -0,0 +1,338 @@
+package member_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/document"
+	"damasktrail.dev/member"
+)
+
+// perTarget is the number of agents per model that the design takes.
+const perTarget = 11
+
+// fleet is a deployment with names as regular as real ones.
+type fleet struct {
+	document *document.Document
+	vms      []member.VM
+}
+
+// newFleet spreads entries and agents evenly over regions of at most 4 failure
+// domains, 23 domains at the target of 7 regions, and over models.
+func newFleet(tb testing.TB, regions, models, entries, agents int) fleet {
+	tb.Helper()
+	d := &document.Document{Generation: 1, Tiers: []document.Tier{{Name: "high", Deadline: 1e9}}}
+	var domains [][]string
+	for r := range regions {
+		domains = append(domains, nil)
+		for i := range 3 + (r+1)%3/2 {
+			name := fmt.Sprintf("r%d-d%d", r, i)
+			domains[r] = append(domains[r], name)
+			d.Domains = append(d.Domains, document.Domain{Name: name, Region: fmt.Sprintf("r%d", r)})
+		}
+	}
+	for m := range models {
+		d.Models = append(d.Models, document.Model{Name: fmt.Sprintf("m%d", m), Context: 1})
+		for r := range regions {
+			d.Sets = append(d.Sets, document.Set{
+				Name: fmt.Sprintf("m%d-r%d", m, r), Kind: document.KindEngine, Model: fmt.Sprintf("m%d", m), Role: document.RoleBoth,
+			})
+		}
+	}
+	res := fleet{}
+	var err error
+	res.document, err = document.Parse(d.Encode())
+	require.NoError(tb, err)
+	for i := range entries {
+		in := domains[i%regions]
+		res.vms = append(res.vms, member.VM{
+			Name: fmt.Sprintf("e%05d", i), Role: member.RoleEntry, Domain: in[i/regions%len(in)],
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, 1+i%250), State: member.StateLive,
+		})
+	}
+	for i := range agents {
+		in := domains[i%regions]
+		res.vms = append(res.vms, member.VM{
+			Name: fmt.Sprintf("a%05d", i), Role: member.RoleAgent, Domain: in[i/regions/models%len(in)],
+			Set:     fmt.Sprintf("m%d-r%d", i/regions%models, i%regions),
+			Address: fmt.Sprintf("10.1.%d.%d:7000", i/250, 1+i%250), State: member.StateLive,
+		})
+	}
+	return res
+}
+
+func (f fleet) list(tb testing.TB, without func(v member.VM) bool) *member.List {
+	tb.Helper()
+	vms := slices.DeleteFunc(slices.Clone(f.vms), func(v member.VM) bool { return without != nil && without(v) })
+	res, err := member.New(1, vms)
+	require.NoError(tb, err)
+	return res
+}
+
+// links returns the subset of each entry of the list.
+func (f fleet) links(l *member.List) map[string][]member.VM {
+	res := map[string][]member.VM{}
+	for _, v := range l.VMs {
+		if v.Role == member.RoleEntry {
+			res[v.Name] = member.Subset(v, l, f.document, perTarget)
+		}
+	}
+	return res
+}
+
+func degrees(links map[string][]member.VM) map[string]int {
+	res := map[string]int{}
+	for _, list := range links {
+		for _, v := range list {
+			res[v.Name]++
+		}
+	}
+	return res
+}
+
+// Guards against agents that few entries know, which idle while others are
+// full, and against entries without an equal part in each failure domain.
+func TestSubsetIsEven(t *testing.T) {
+	f := newFleet(t, 1, 1, 77, 71)
+	l := f.list(t, nil)
+	links := f.links(l)
+	extra := 0
+	for entry, list := range links {
+		require.GreaterOrEqual(t, len(list), 11)
+		extra += len(list) - 11
+		parts := map[string]int{}
+		for _, v := range list {
+			parts[v.Domain]++
+		}
+		require.Len(t, parts, 3, entry)
+		for _, n := range parts {
+			require.InDelta(t, 11.0/3, n, 2.5, entry)
+		}
+	}
+	var in []int
+	for _, n := range degrees(links) {
+		in = append(in, n)
+	}
+	slices.Sort(in)
+	t.Logf("in-degree of 71 agents: lowest %d, median %d, highest %d; %d links beyond 847", in[0], in[35], in[len(in)-1], extra)
+	require.Len(t, in, 71)
+	// Independent choices give 11.9 with a standard deviation of 3.2.
+	require.GreaterOrEqual(t, in[0], 3)
+	require.LessOrEqual(t, in[len(in)-1], 24)
+}
+
+// Guards against the loss of VMs that moves the links between others.
+func TestSubsetChurn(t *testing.T) {
+	f := newFleet(t, 1, 1, 77, 71)
+	l := f.list(t, nil)
+	before := f.links(l)
+	beyond := -77 * perTarget // links that entries have as sponsors only
+	for _, list := range before {
+		beyond += len(list)
+	}
+	// churn counts the links that a loss ends and the new ones that it causes.
+	churn := func(gone func(v member.VM) bool) (ended, added int) {
+		after := f.links(f.list(t, gone))
+		for entry, list := range before {
+			if v, _ := l.VM(entry); gone(v) {
+				continue
+			}
+			for _, v := range list {
+				if gone(v) {
+					ended++
+				} else {
+					require.Contains(t, after[entry], v, "a link between two other VMs ended")
+				}
+			}
+			for _, v := range after[entry] {
+				if !slices.Contains(list, v) {
+					added++
+				}
+			}
+		}
+		return ended, added
+	}
+	in := degrees(before)
+	for _, name := range []string{"a00000", "a00017", "a00070"} {
+		ended, added := churn(func(v member.VM) bool { return v.Name == name })
+		require.Equal(t, in[name], ended)
+		require.LessOrEqual(t, added, ended)
+		require.GreaterOrEqual(t, added, ended-member.Sponsors, "each entry takes another agent")
+	}
+	for _, name := range []string{"e00000", "e00007", "e00076"} {
+		sponsored := 0
+		for _, v := range f.vms[77:] {
+			for _, e := range member.Entries(l, f.document, v, member.Sponsors) {
+				if e.Name == name {
+					sponsored++
+				}
+			}
+		}
+		ended, added := churn(func(v member.VM) bool { return v.Name == name })
+		require.Zero(t, ended)
+		require.LessOrEqual(t, added, sponsored, "only new sponsors have new links")
+	}
+	ended, added := churn(func(v member.VM) bool { return v.Domain == "r0-d1" && v.Role == member.RoleAgent })
+	t.Logf("loss of the agents of a failure domain: %d of %d links ended, %d new", ended, 77*perTarget+beyond, added)
+	require.LessOrEqual(t, added, ended)
+	require.GreaterOrEqual(t, added, ended-beyond)
+}
+
+// Guards against a subset that leaves out an agent it must have or has one
+// that it must not have.
+func TestSubsetCandidates(t *testing.T) {
+	f := newFleet(t, 2, 2, 4, 60) // 15 agents per model and region
+	entry := f.vms[0]
+	count := func(without func(v member.VM) bool) map[string]int {
+		res := map[string]int{}
+		for _, v := range member.Subset(entry, f.list(t, without), f.document, 11) {
+			res[v.Set]++
+		}
+		return res
+	}
+	require.Equal(t, map[string]int{"m0-r0": 15, "m1-r0": 15}, count(nil), "all below 16")
+	gone := func(set string) func(v member.VM) bool { return func(v member.VM) bool { return v.Set == set } }
+	require.Equal(t, map[string]int{"m0-r1": 15, "m1-r0": 15}, count(gone("m0-r0")), "other region")
+
+	for i := range f.vms {
+		if f.vms[i].Set == "m0-r0" {
+			f.vms[i].State = member.StateLeaving
+		}
+	}
+	require.Equal(t, map[string]int{"m0-r1": 15, "m1-r0": 15}, count(nil), "leaving VMs are left out")
+	f.vms[10].Set, f.vms[11].Set = "x", "y"
+	n := 0
+	for _, c := range count(nil) {
+		n += c
+	}
+	require.Equal(t, 29, n, "a set that the document lacks is left out")
+
+	g := newFleet(t, 2, 1, 40, 64)
+	require.InDelta(t, perTarget, len(member.Subset(g.vms[0], g.list(t, nil), g.document, perTarget)), 3)
+	require.Len(t, member.Subset(g.vms[0], g.list(t, nil), g.document, 40), 32, "no more than there are")
+	alone := g.list(t, func(v member.VM) bool { return v.Role == member.RoleEntry && v.Name != "e00000" })
+	require.Len(t, member.Subset(g.vms[0], alone, g.document, perTarget), 32, "the only entry knows all agents")
+}
+
+// Guards against an agent that no entry has in its subset at the target size,
+// and against ranked entries that are not linked to their agent.
+func TestTargetSize(t *testing.T) {
+	f := newFleet(t, 7, 24, 540, 12000)
+	require.Len(t, f.document.Domains, 23)
+	l := f.list(t, nil)
+	size := len(l.Encode())
+	t.Logf("list of %d VMs: %d bytes", len(l.VMs), size)
+	require.LessOrEqual(t, size, member.MaxSize)
+	links := f.links(l)
+	linked := map[[2]string]bool{}
+	out := 0
+	for entry, list := range links {
+		out = max(out, len(list))
+		for _, v := range list {
+			linked[[2]string{entry, v.Name}] = true
+		}
+	}
+	in := degrees(links)
+	lowest, highest := 1000, 0
+	for _, n := range in {
+		lowest, highest = min(lowest, n), max(highest, n)
+	}
+	t.Logf("links: at most %d an entry; %d of 12000 agents linked, by %d to %d entries", out, len(in), lowest, highest)
+	require.Len(t, in, 12000)
+	require.LessOrEqual(t, out, 264+10)
+	var missing [3]int
+	for _, v := range l.VMs {
+		if v.Role != member.RoleAgent {
+			continue
+		}
+		for i, e := range member.Entries(l, f.document, v, 3) {
+			if !linked[[2]string{e.Name, v.Name}] {
+				missing[i]++
+			}
+		}
+	}
+	t.Logf("agents whose ranked entry has no link, by rank: %v of 12000", missing)
+	require.Zero(t, missing)
+	require.GreaterOrEqual(t, lowest, member.Sponsors)
+}
+
+// Guards against readers outside their region, leaving readers, and a duty
+// that stays with the same entries.
+func TestReadersAndEntries(t *testing.T) {
+	f := newFleet(t, 7, 1, 540, 70)
+	f.vms[0].State = member.StateLeaving
+	l := f.list(t, nil)
+	turns := map[string]int{}
+	for slot := range int64(1000) {
+		readers := member.Readers(l, f.document, "r0", slot, 2)
+		require.Len(t, readers, 2)
+		for _, v := range readers {
+			d, _ := f.document.Domain(v.Domain)
+			require.Equal(t, "r0", d.Region)
+			turns[v.Name]++
+		}
+	}
+	require.Len(t, turns, 77, "78 entries of the region but the leaving one")
+	require.NotContains(t, turns, f.vms[0].Name)
+	for name, n := range turns {
+		require.Less(t, n, 60, name) // 26 on average
+	}
+	require.Empty(t, member.Readers(l, f.document, "none", 1, 2))
+	require.Len(t, member.Readers(l, f.document, "r0", 1, 1000), 77)
+
+	agent := f.vms[540]
+	entries := member.Entries(l, f.document, agent, 3)
+	require.Len(t, entries, 3)
+	last := ^uint64(0)
+	for _, e := range entries {
+		d, _ := f.document.Domain(e.Domain)
+		require.Equal(t, "r0", d.Region)
+		require.LessOrEqual(t, member.Rank(e.Name, agent.Name), last)
+		last = member.Rank(e.Name, agent.Name)
+	}
+	alone := f.list(t, func(v member.VM) bool {
+		d, _ := f.document.Domain(v.Domain)
+		return d.Region == "r0" && v.Role == member.RoleEntry
+	})
+	require.Empty(t, member.Entries(alone, f.document, agent, 3))
+	require.NotEqual(t, member.Rank("ab", "c"), member.Rank("a", "bc"))
+	require.Equal(t, uint64(0xc870afe9d54e970f), member.Rank("e", "a"), "processes of different versions must agree")
+}
+
+func BenchmarkSubset(b *testing.B) {
+	f := newFleet(b, 7, 24, 540, 12000)
+	l := f.list(b, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		member.Subset(f.vms[0], l, f.document, 11)
+	}
+}
+
+func BenchmarkEntries(b *testing.B) {
+	f := newFleet(b, 7, 24, 540, 12000)
+	l := f.list(b, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		member.Entries(l, f.document, f.vms[600], 3)
+	}
+}
+
+func BenchmarkReaders(b *testing.B) {
+	f := newFleet(b, 7, 24, 540, 12000)
+	l := f.list(b, nil)
+	for b.Loop() {
+		member.Readers(l, f.document, "r0", 1, 2)
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	data := newFleet(b, 7, 24, 540, 12000).list(b, nil).Encode()
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		_, err := member.Parse(data)
+		require.NoError(b, err)
+	}
+}
