--- a/engine/answer.go
+++ b/engine/answer.go
@@ -57,6 +57,8 @@
 	resumes int
 	// whole collects an answer in one piece for its usage, up to maxUsageBytes.
 	whole []byte
+	// length is the number of bytes delivered of an answer in one piece.
+	length int64
 
 	usage damasktrail.Usage
 	// err is what Next returns from now on; io.EOF after a whole answer.
@@ -162,11 +164,11 @@
 	a.wait()
 	n, err := a.body.Read(a.buf)
 	a.pause()
-	a.end += n
-	if int64(a.end) > a.c.settings.Body {
+	if room := a.c.settings.Body - a.length; int64(n) > room {
 		a.fail(&LimitError{"body", a.c.settings.Body})
-		return nil, a.err
+		return a.buf[:room], nil
 	}
+	a.length += int64(n)
 	if len(a.whole)+n <= maxUsageBytes {
 		a.whole = append(a.whole, a.buf[:n]...)
 	}
--- /dev/null
+++ b/engine/http_test.go
@@ -0,0 +1,228 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev"
+	"damasktrail.dev/engine"
+	"damasktrail.dev/group"
+	"damasktrail.dev/timer"
+)
+
+// script is an endpoint on a loopback socket that answers every request with
+// fixed bytes and closes the connection.
+type script struct {
+	net.Listener
+	mu sync.Mutex
+	// lines holds the request lines that arrived.
+	lines []string
+}
+
+// newScript answers calls with answer and health checks with status 200.
+func newScript(t *testing.T, answer string) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &script{Listener: l}
+	tasks := group.New(t.Context())
+	tasks.Go(func(context.Context) {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			tasks.Go(func(context.Context) { s.serve(c, answer) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		tasks.Close()
+	})
+	return s
+}
+
+func (s *script) serve(c net.Conn, answer string) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	s.mu.Lock()
+	s.lines = append(s.lines, r.Method+" "+r.URL.Path)
+	s.mu.Unlock()
+	if r.URL.Path == "/health" {
+		answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	}
+	io.WriteString(c, answer)
+}
+
+// count returns how often the request line arrived.
+func (s *script) count(line string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.lines {
+		if l == line {
+			n++
+		}
+	}
+	return n
+}
+
+func newClient(t testing.TB, l net.Listener, settings engine.Settings) *engine.Client {
+	t.Helper()
+	tasks := group.New(context.Background())
+	t.Cleanup(tasks.Close)
+	return engine.New("http://"+l.Addr().String(), nil, timer.New(tasks), settings)
+}
+
+// Guards against broken answers that pass for whole ones, and against a call
+// that net/http or the client sends twice.
+func TestBrokenAnswers(t *testing.T) {
+	const events = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	tests := map[string]struct {
+		answer string
+		stream bool
+		// failure is a part of the error's text; empty for a whole answer.
+		failure string
+		body    string
+	}{
+		"whole":             {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", body: "ok"},
+		"chunked":           {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", body: "ok"},
+		"no content":        {answer: "HTTP/1.1 204 No Content\r\n\r\n"},
+		"ends by close":     {answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", failure: "neither a length nor chunks"},
+		"short":             {answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", failure: "unexpected EOF", body: "ok"},
+		"chunks cut":        {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", failure: "unexpected EOF", body: "ok"},
+		"no answer":         {answer: "", failure: "EOF"},
+		"half a head":       {answer: "HTTP/1.1 200 OK\r\nConte", failure: "malformed"},
+		"large head":        {answer: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n", failure: "exceeded"},
+		"large body":        {answer: "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n", failure: "body of the answer exceeds 4096 bytes"},
+		"large chunks":      {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1100\r\n" + strings.Repeat("x", 0x1100) + "\r\n0\r\n\r\n", failure: "body of the answer exceeds 4096 bytes", body: strings.Repeat("x", 4096)},
+		"redirect":          {answer: "HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n"},
+		"stream":            {stream: true, answer: events + "id: 1\ndata: a\n\ndata: [DONE]\n\n", body: "id: 1\ndata: a\n\ndata: [DONE]\n\n"},
+		"stream with CRLF":  {stream: true, answer: events + "data: a\r\n\r\ndata:[DONE]\r\n\r\n", body: "data: a\r\n\r\ndata:[DONE]\r\n\r\n"},
+		"stream, no ids":    {stream: true, answer: events + "data: a\n\n", failure: "no event ids", body: "data: a\n\n"},
+		"stream, no end":    {stream: true, answer: events + "id: 1\ndata: a\n\n", failure: "unexpected EOF", body: "id: 1\ndata: a\n\n"},
+		"stream with gap":   {stream: true, answer: events + "id: 1\ndata: a\n\nid: 3\ndata: [DONE]\n\n", failure: "missing", body: "id: 1\ndata: a\n\n"},
+		"large event":       {stream: true, answer: events + "data: " + strings.Repeat("x", 9000), failure: "event of the answer exceeds 8192 bytes"},
+		"stream, other":     {stream: true, answer: "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno", body: "no"},
+		"stream, no answer": {stream: true, answer: "", failure: "EOF"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, tt.answer)
+			c := newClient(t, s, engine.Settings{Header: 4096, Body: 4096, Event: 8192, Silence: time.Second})
+			for _, method := range []string{http.MethodPost, http.MethodGet} {
+				a, err := c.Run(t.Context(), damasktrail.Call{ID: "a", Method: method, Path: "/call", Stream: tt.stream})
+				var body string
+				if err == nil {
+					body, err = readAll(a)
+					a.Close()
+				}
+				if tt.failure == "" {
+					require.NoError(t, err)
+				} else {
+					var lost *engine.LostError
+					require.ErrorAs(t, err, &lost)
+					require.ErrorContains(t, err, tt.failure)
+					require.NotErrorIs(t, err, damasktrail.ErrNotDispatched)
+				}
+				require.Equal(t, tt.body, body)
+				require.Equal(t, 1, s.count(method+" /call"))
+				require.Zero(t, s.count("GET /other"))
+			}
+		})
+	}
+}
+
+// Guards against a call that runs although its error says that it was not
+// dispatched, when its context ends around the first write.
+func TestNotDispatchedIsTrue(t *testing.T) {
+	s := newScript(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	c := newClient(t, s, engine.Settings{Service: true})
+	kept := map[string]bool{}
+	for i := range 400 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*time.Microsecond)
+		path := fmt.Sprintf("/%d", i)
+		a, err := c.Run(ctx, damasktrail.Call{ID: path, Method: http.MethodPost, Path: path, Body: []byte("x")})
+		if err == nil {
+			a.Close()
+		}
+		cancel()
+		kept[path] = errors.Is(err, damasktrail.ErrNotDispatched)
+	}
+	time.Sleep(50 * time.Millisecond) // lets the last dispatched calls arrive
+	undispatched := 0
+	for path, not := range kept {
+		if not {
+			undispatched++
+			require.Zero(t, s.count("POST "+path), path)
+		}
+	}
+	t.Logf("%d of %d calls were not dispatched", undispatched, len(kept))
+	require.NotZero(t, undispatched)
+	require.Less(t, undispatched, len(kept))
+}
+
+func readAll(a damasktrail.Answer) (string, error) {
+	var b strings.Builder
+	for {
+		part, err := a.Next()
+		b.Write(part)
+		if errors.Is(err, io.EOF) {
+			return b.String(), nil
+		}
+		if err != nil {
+			return b.String(), err
+		}
+	}
+}
+
+// BenchmarkToken reads one event of a streamed answer over a loopback socket.
+func BenchmarkToken(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	defer l.Close()
+	tasks := group.New(b.Context())
+	defer tasks.Wait()
+	tasks.Go(func(context.Context) {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		http.ReadRequest(bufio.NewReader(c))
+		w := bufio.NewWriterSize(c, 64<<10)
+		io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+		for i := range b.N {
+			fmt.Fprintf(w, "id: %d\ndata: {\"id\":\"a\",\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":\"m\","+
+				"\"choices\":[{\"index\":0,\"delta\":{\"content\":\" harbour\"},\"finish_reason\":null}]}\n\n", i+1)
+		}
+		io.WriteString(w, "data: [DONE]\n\n")
+		w.Flush()
+	})
+	c := newClient(b, l, engine.Settings{})
+	a, err := c.Run(b.Context(), damasktrail.Call{ID: "a", Method: http.MethodPost, Path: "/call", Stream: true})
+	require.NoError(b, err)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := a.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.StopTimer()
+	a.Close()
+}
