--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -176,6 +176,57 @@
 	require.Less(t, undispatched, len(kept))
 }
 
+// Guards against net/http sending a call again by itself when a kept connection
+// closes before its answer.
+func TestKeptConnectionIsNotRetried(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &script{Listener: l}
+	tasks := group.New(t.Context())
+	tasks.Go(func(context.Context) {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			for {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				io.Copy(io.Discard, q.Body)
+				s.mu.Lock()
+				s.lines = append(s.lines, q.Method+" "+q.URL.Path)
+				s.mu.Unlock()
+				if q.URL.Path != "/first" {
+					break
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+			c.Close()
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		tasks.Close()
+	})
+	c := newClient(t, l, engine.Settings{Service: true, Idle: time.Minute})
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodHead} {
+		for _, body := range []string{"", "x"} {
+			a, err := c.Run(t.Context(), damasktrail.Call{ID: "a", Method: http.MethodGet, Path: "/first"})
+			require.NoError(t, err)
+			_, err = readAll(a)
+			require.NoError(t, err)
+			path := "/" + method + body
+			_, err = c.Run(t.Context(), damasktrail.Call{ID: "b", Method: method, Path: path, Body: []byte(body)})
+			var lost *engine.LostError
+			require.ErrorAs(t, err, &lost)
+			require.Equal(t, 1, s.count(method+" "+path))
+		}
+	}
+}
+
 func readAll(a damasktrail.Answer) (string, error) {
 	var b strings.Builder
 	for {
--- a/standin/endpoint_cache.go
+++ b/standin/endpoint_cache.go
@@ -70,14 +70,14 @@
 
 // hit returns the number of leading blocks that are cached and marks them used.
 func (c *prefixCache) hit(hashes []uint64) int {
-	for i, h := range hashes {
-		e, found := c.blocks[h]
-		if !found {
-			return i
-		}
-		c.order.MoveToFront(e)
+	n := 0
+	for n < len(hashes) && c.blocks[hashes[n]] != nil {
+		n++
+	}
+	for i := n - 1; i >= 0; i-- {
+		c.order.MoveToFront(c.blocks[hashes[i]])
 	}
-	return len(hashes)
+	return n
 }
 
 // store adds the blocks and removes the least recently used ones beyond capacity.
