--- a/entry/entry.go
+++ b/entry/entry.go
@@ -157,6 +157,11 @@
 	return e.listener.Close()
 }
 
+// Address returns the address for other entries.
+func (e *Entry) Address() string {
+	return e.listener.Address()
+}
+
 // Callers returns the handler for callers.
 func (e *Entry) Callers() http.Handler {
 	return e.routes()
