--- a/document/difference_test.go
+++ b/document/difference_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -267,3 +269,43 @@
 		})
 	}
 }
+
+// Guards against a reader that sees an older generation, or a history that does
+// not fit the document, while others offer.
+func TestHolderConcurrently(t *testing.T) {
+	h := document.NewHolder()
+	documents := make([]*document.Document, 40)
+	for i := range documents {
+		documents[i] = sized(uint64(i+1), 1+i%3, 1, 1)
+	}
+	var offers, reads sync.WaitGroup
+	done := make(chan struct{})
+	for range 4 {
+		reads.Go(func() {
+			for last := uint64(0); ; {
+				select {
+				case <-done:
+					return
+				case <-h.Changed():
+				}
+				d := h.Load()
+				if d.Generation < last {
+					t.Errorf("generation fell from %d to %d", last, d.Generation)
+				}
+				last = d.Generation
+				if _, ok := h.Since(last); !ok {
+					t.Errorf("history does not reach generation %d", last)
+				}
+			}
+		})
+		offers.Go(func() {
+			for _, i := range rand.Perm(len(documents)) {
+				_, _ = h.Offer(documents[i])
+			}
+		})
+	}
+	offers.Wait()
+	close(done)
+	reads.Wait()
+	require.Same(t, documents[39], h.Load())
+}
