--- a/certificate/certificate_test.go
+++ b/certificate/certificate_test.go
@@ -105,9 +105,8 @@
 		return res
 	}
 	for name, c := range map[string]struct {
-		server, client *tls.Config
-		atServer       string
-		atClient       string
+		server, client     *tls.Config
+		atServer, atClient string
 	}{
 		"client of another authority": {
 			server: server, atServer: "unknown authority",
@@ -167,9 +166,8 @@
 func TestIdentity(t *testing.T) {
 	a := authority(t)
 	for name, c := range map[string]struct {
-		role certificate.Role
-		name string
-		want string
+		role       certificate.Role
+		name, want string
 	}{
 		"unknown role":   {"king", "x", `role "king" does not exist`},
 		"no name":        {certificate.RoleEntry, "", "name may have letters"},
--- a/certificate/example_test.go
+++ b/certificate/example_test.go
@@ -13,11 +13,7 @@
 	authority, _ := certificate.NewAuthority("example", time.Hour)
 	pair, _ := authority.Issue(certificate.RoleAgent, "agent-1", []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour)
 	own, _ := pair.TLS()
-	files, err := certificate.New(authority.Pool(), own)
-	if err != nil {
-		fmt.Println(err)
-		return
-	}
+	files, _ := certificate.New(authority.Pool(), own)
 	settings := files.ServerConfig(set.Of(certificate.RoleEntry))
 	fmt.Println(files.Identity(), settings.NextProtos)
 	// Output: damasktrail:agent:agent-1 [damasktrail/1]
--- a/document/difference_test.go
+++ b/document/difference_test.go
@@ -110,9 +110,9 @@
 			list, ok := h.Since(d.Generation)
 			require.True(t, ok)
 			for _, x := range list {
-				var err error
-				d, err = d.Apply(x)
+				next, err := d.Apply(x)
 				require.NoError(t, err)
+				d = next
 			}
 			require.Equal(t, h.Load(), d)
 		}
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -72,6 +72,13 @@
 	return []byte(s)
 }
 
+func must[T any](v T, found bool) T {
+	if !found {
+		panic("item was not found")
+	}
+	return v
+}
+
 // Guards against lookups that miss an item or a key, and against a default
 // tier that changes when sections are sorted.
 func TestParseAndLookUp(t *testing.T) {
@@ -79,36 +86,20 @@
 	require.NoError(t, err)
 	require.Equal(t, document.PolicyCost, d.Policy)
 	require.Equal(t, "aalst", d.Domains[0].Name)
-	tier, ok := d.Tier("low")
-	require.True(t, ok)
-	require.Equal(t, document.Tier{Name: "low", Rank: 1, Deadline: 2 * time.Minute}, tier)
-	tier, ok = d.TierByRank(0)
-	require.True(t, ok)
-	require.Equal(t, "high", tier.Name)
-	m, ok := d.Model("jury")
-	require.True(t, ok)
-	require.Equal(t, 32768, m.Context)
-	s, ok := d.Set("jury-a")
-	require.True(t, ok)
-	require.Equal(t, "jury", s.Target())
-	s, ok = d.Set("dossier")
-	require.True(t, ok)
-	require.Equal(t, "dossier", s.Target())
-	service, ok := d.Service("dossiers")
-	require.True(t, ok)
-	require.Equal(t, []string{"GET", "PUT"}, service.Idempotent)
-	domain, ok := d.Domain("ghent")
-	require.True(t, ok)
-	require.Equal(t, "be", domain.Region)
+	require.Equal(t, document.Tier{Name: "low", Rank: 1, Deadline: 2 * time.Minute}, must(d.Tier("low")))
+	require.Equal(t, "high", must(d.TierByRank(0)).Name)
+	require.Equal(t, 32768, must(d.Model("jury")).Context)
+	require.Equal(t, "jury", must(d.Set("jury-a")).Target())
+	require.Equal(t, "dossier", must(d.Set("dossier")).Target())
+	require.Equal(t, []string{"GET", "PUT"}, must(d.Service("dossiers")).Idempotent)
+	require.Equal(t, "be", must(d.Domain("ghent")).Region)
 	for key, want := range map[string]string{"KEY-FAIR": "fair", "KEY-A": "Świt", "KEY-B": "Świt", "key-a": "", "": ""} {
 		o, ok := d.OrganisationByKey(key)
 		require.Equal(t, want != "", ok, key)
 		require.Equal(t, want, o.Name)
 	}
-	o, ok := d.Organisation("fair")
-	require.True(t, ok)
-	require.Equal(t, []string{"high", "low"}, o.Tiers)
-	_, ok = d.Organisation("none")
+	require.Equal(t, []string{"high", "low"}, must(d.Organisation("fair")).Tiers)
+	_, ok := d.Organisation("none")
 	require.False(t, ok)
 
 	again, err := document.Parse(d.Encode())
--- a/document/example_test.go
+++ b/document/example_test.go
@@ -7,19 +7,11 @@
 )
 
 func Example() {
-	first, err := document.Parse([]byte(`{"generation": 1, "tiers": [{"name": "high", "rank": 0, "deadline": "30s"}]}`))
-	if err != nil {
-		fmt.Println(err)
-		return
-	}
+	first, _ := document.Parse([]byte(`{"generation": 1, "tiers": [{"name": "high", "rank": 0, "deadline": "30s"}]}`))
 	second, _ := document.Parse([]byte(`{"generation": 2, "tiers": [{"name": "high", "rank": 0, "deadline": "40s"}]}`))
 	holder := document.NewHolder()
 	_, _ = holder.Offer(first)
-	next, err := holder.Load().Apply(document.Compare(first, second))
-	if err != nil {
-		fmt.Println(err)
-		return
-	}
+	next, _ := holder.Load().Apply(document.Compare(first, second))
 	fmt.Println(holder.Offer(next))
 	fmt.Println(holder.Offer(first))
 	// Output:
--- a/member/list_test.go
+++ b/member/list_test.go
@@ -75,23 +75,22 @@
 		return l
 	}
 	changed := h.Changed()
-	ok, err := h.Offer(list(2))
-	require.True(t, ok)
-	require.NoError(t, err)
+	offer := func(l *member.List) bool {
+		res, err := h.Offer(l)
+		require.NoError(t, err)
+		return res
+	}
+	require.True(t, offer(list(2)))
 	<-changed
-	ok, err = h.Offer(list(2))
-	require.False(t, ok)
-	require.NoError(t, err)
+	require.False(t, offer(list(2)))
 	var conflict *member.ConflictError
-	_, err = h.Offer(list(2, vm))
+	_, err := h.Offer(list(2, vm))
 	require.ErrorAs(t, err, &conflict)
 	var older *member.OlderError
 	_, err = h.Offer(list(1, vm))
 	require.ErrorAs(t, err, &older)
 	require.Empty(t, h.Load().VMs)
-	ok, err = h.Offer(list(3, vm))
-	require.True(t, ok)
-	require.NoError(t, err)
+	require.True(t, offer(list(3, vm)))
 	require.Equal(t, uint64(3), h.Load().Version)
 }
 
--- a/member/rank_test.go
+++ b/member/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -112,11 +113,7 @@
 			require.InDelta(t, 11.0/3, n, 2.5, entry)
 		}
 	}
-	var in []int
-	for _, n := range degrees(links) {
-		in = append(in, n)
-	}
-	slices.Sort(in)
+	in := slices.Sorted(maps.Values(degrees(links)))
 	t.Logf("in-degree of 71 agents: lowest %d, median %d, highest %d; %d links beyond 847", in[0], in[35], in[len(in)-1], extra)
 	require.Len(t, in, 71)
 	// Independent choices give 11.9 with a standard deviation of 3.2.
@@ -235,11 +232,8 @@
 			linked[[2]string{entry, v.Name}] = true
 		}
 	}
-	in := degrees(links)
-	lowest, highest := 1000, 0
-	for _, n := range in {
-		lowest, highest = min(lowest, n), max(highest, n)
-	}
+	in := slices.Sorted(maps.Values(degrees(links)))
+	lowest, highest := in[0], in[len(in)-1]
 	t.Logf("links: at most %d an entry; %d of 12000 agents linked, by %d to %d entries", out, len(in), lowest, highest)
 	require.Len(t, in, 12000)
 	require.LessOrEqual(t, out, 264+10)
