--- a/engine/dispatch_test.go
+++ b/engine/dispatch_test.go
@@ -1,7 +1,11 @@
 package engine
 
 import (
+	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -59,3 +63,46 @@
 		})
 	}
 }
+
+// failing is a transport that fails after it got a connection and perhaps wrote.
+type failing struct {
+	conn  *recordedConn
+	write bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (f failing) RoundTrip(r *http.Request) (*http.Response, error) {
+	if f.conn != nil {
+		httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{Conn: f.conn})
+	}
+	if f.write {
+		f.conn.Write([]byte("x"))
+	}
+	return nil, errors.New("failed")
+}
+
+// Guards against a dispatched call that is reported as not dispatched, and the
+// reverse, which would cost a retry.
+func TestDispatchReportsWrites(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	server.Close()
+	for name, tt := range map[string]struct {
+		transport  failing
+		dispatched bool
+	}{
+		"no connection": {},
+		"no write":      {transport: failing{conn: &recordedConn{Conn: client}}},
+		"failed write":  {transport: failing{conn: &recordedConn{Conn: client}, write: true}, dispatched: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, dispatched, err := dispatch(tt.transport, httptest.NewRequest(http.MethodPost, "/", http.NoBody))
+			require.Error(t, err)
+			require.Equal(t, tt.dispatched, dispatched)
+			if c := tt.transport.conn; c != nil && !dispatched {
+				_, err := c.Write([]byte("x"))
+				require.ErrorIs(t, err, errSealed)
+			}
+		})
+	}
+}
