Report the load of a plain service and check the time limits

Plain services report load too, but the stand-in counted completions alone, and no test held the client to the time in which it gives up.

Running calls of a plain service are part of its load. A fault with an unknown extent of silence is refused. The table of faults has exact times and a row for an endpoint that accepts resumes and sends nothing.

--- a/engine/client.go
+++ b/engine/client.go
@@ -75,6 +75,11 @@
 // An error wraps [damasktrail.ErrNotDispatched] exactly when no byte reached the
 // endpoint; otherwise it is a [*LostError], a [*CrashedError] or the error of
 // ctx. The answer ends with ctx.
+//
+// A stream is given up after the limits Silence, Resumes and Ask: with the
+// defaults after about 30 s when nothing answers, and after 80 s when the endpoint
+// accepts each resume but sends no event. The ids of events must be numbers that
+// rise by one; a stream without ids ends at its first failure.
 func (c *Client) Run(ctx context.Context, call damasktrail.Call) (_ damasktrail.Answer, err error) {
 	defer func() {
 		if err != nil {
--- a/engine/enginetest/fault.go
+++ b/engine/enginetest/fault.go
@@ -49,15 +49,19 @@
 		},
 		{
 			name: "silent endpoint", fault: standin.EndpointFault{Silence: standin.SilenceAll}, delay: 55 * time.Millisecond,
-			result: lost, runs: 1, events: 6, least: 20 * time.Second, most: 40 * time.Second,
+			result: lost, runs: 1, events: 6, least: 28 * time.Second, most: 29 * time.Second,
 		},
 		{
 			name: "silent from the start", fault: standin.EndpointFault{Silence: standin.SilenceAll},
-			result: lost, least: 20 * time.Second, most: 40 * time.Second,
+			result: lost, least: 30 * time.Second, most: 31 * time.Second,
 		},
 		{name: "crash before the first token", fault: standin.EndpointFault{Marker: "diary"}, result: crashed, runs: 1, most: time.Second},
 		{name: "crash in decode", fault: standin.EndpointFault{Marker: "diary", After: 5}, result: crashed, runs: 1, events: 5, most: time.Second},
 		{name: "crash now", fault: standin.EndpointFault{Crash: true}, delay: 55 * time.Millisecond, result: crashed, runs: 1, events: 6, most: time.Second},
+		{
+			name: "stalled", fault: standin.EndpointFault{Slow: 1e6},
+			result: lost, runs: 1, least: 80 * time.Second, most: 81 * time.Second,
+		},
 		{name: "slow", fault: standin.EndpointFault{Slow: 30}, result: answered, runs: 1, least: 5 * time.Second, most: 7 * time.Second},
 	}
 	for _, tt := range tests {
--- a/engine/enginetest/suite.go
+++ b/engine/enginetest/suite.go
@@ -28,7 +28,7 @@
 const base = "http://endpoint.test"
 
 // Factory returns the implementation under test for the endpoint at base.
-// Implementations must give up a silent stream after 20 s.
+// Its limits must be the defaults of [engine.Settings].
 type Factory func(base string, client *http.Client, clock damasktrail.Clock) damasktrail.Engine
 
 // subject is an implementation with its endpoint.
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -58,7 +58,8 @@
 	// is 2 s.
 	Linger time.Duration
 	// Crash is called once when a fault ends the process. The default exits with
-	// status 3. The endpoint generates nothing more afterwards.
+	// status 3. The endpoint generates nothing more afterwards. It must not call
+	// Close, which waits for the goroutine that calls it.
 	Crash func()
 }
 
@@ -94,6 +95,8 @@
 	streams map[string]*stream
 	// waiting holds requests in order of arrival; running has at most Batch.
 	waiting, running []*stream
+	// serving counts the running calls of a plain service.
+	serving int
 	// stepping is true while a goroutine runs the batch.
 	stepping bool
 	cache    *prefixCache
--- a/standin/endpoint_batch.go
+++ b/standin/endpoint_batch.go
@@ -78,7 +78,7 @@
 	for len(e.loads) > 1 && !e.loads[1].at.After(old) {
 		e.loads = e.loads[1:]
 	}
-	e.loads = append(e.loads, loadReading{now, len(e.running), len(e.waiting)})
+	e.loads = append(e.loads, loadReading{now, len(e.running) + e.serving, len(e.waiting)})
 }
 
 // run steps the batch until it is empty.
--- a/standin/endpoint_control.go
+++ b/standin/endpoint_control.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 )
@@ -74,6 +75,10 @@
 			e.fail(w, http.StatusBadRequest, err.Error())
 			return
 		}
+		if f.Silence != "" && f.Silence != SilenceOpen && f.Silence != SilenceAll {
+			e.fail(w, http.StatusBadRequest, fmt.Sprintf("silence %q is neither open nor all", f.Silence))
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 		e.SetFault(f)
 	})
--- a/standin/endpoint_http.go
+++ b/standin/endpoint_http.go
@@ -200,7 +200,13 @@
 	if e.fault.Slow > 0 {
 		d = time.Duration(float64(d) * e.fault.Slow)
 	}
+	e.serve(1)
 	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.serve(-1)
+	}()
 	if marked {
 		e.crash()
 		panic(http.ErrAbortHandler)
@@ -212,6 +218,12 @@
 	e.reply(w, http.StatusOK, serviceAnswer{Method: r.Method, Path: r.URL.Path, Digest: digest, Runs: runs})
 }
 
+// serve changes the number of running calls. The caller holds the lock.
+func (e *Endpoint) serve(change int) {
+	e.serving += change
+	e.noteLoad()
+}
+
 // complete starts a completion and answers it streamed or whole.
 func (e *Endpoint) complete(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -249,8 +249,10 @@
 			status, body := b.call(t.Context(), b.Control(), "PUT", "/control/fault", "", fault)
 			require.Equal(t, 204, status, body)
 		}
-		status, _ := b.call(t.Context(), b.Control(), "PUT", "/control/fault", "", `{"slw":2}`)
-		require.Equal(t, 400, status)
+		for _, wrong := range []string{`{"slw":2}`, `{"silence":"some"}`} {
+			status, _ := b.call(t.Context(), b.Control(), "PUT", "/control/fault", "", wrong)
+			require.Equal(t, 400, status)
+		}
 
 		set(`{"slow":3}`)
 		_, _, took := b.start(t.Context(), "a", text("p", 10), 2, false)()
@@ -352,7 +354,7 @@
 	}
 }
 
-// Guards against a plain service that hides how often a body ran.
+// Guards against a plain service that hides how often a body ran, or its load.
 func TestEndpointService(t *testing.T) {
 	inBubble(t, standin.EndpointOptions{Kind: standin.KindService}, func(t *testing.T, b *bench) {
 		for runs := 1; runs <= 2; runs++ {
@@ -369,5 +371,15 @@
 			require.Equal(t, runs, b.Runs().Counts[answer.Digest])
 		}
 		require.Equal(t, "2", b.Runs().Runs[1].ID)
+		time.Sleep(time.Second)
+		b.SetFault(standin.EndpointFault{Slow: 100})
+		wait := b.start(t.Context(), "3", "p", 1, false)
+		time.Sleep(250 * time.Millisecond)
+		_, body := b.do("GET", "/v1/load", "", "")
+		require.JSONEq(t, `{"running":1,"waiting":0,"age":250}`, body)
+		wait()
+		time.Sleep(250 * time.Millisecond)
+		_, body = b.do("GET", "/v1/load", "", "")
+		require.JSONEq(t, `{"running":0,"waiting":0,"age":250}`, body)
 	})
 }
