--- a/link/link.go
+++ b/link/link.go
@@ -71,6 +71,11 @@
 	return c.peer
 }
 
+// LocalAddress returns the address that the connection leaves from.
+func (c *Conn) LocalAddress() string {
+	return c.quic.LocalAddr().String()
+}
+
 // Context ends when the connection is closed by either side or goes silent.
 func (c *Conn) Context() context.Context {
 	return c.quic.Context()
