--- a/entry/control.go
+++ b/entry/control.go
@@ -194,9 +194,11 @@
 	c.e.tasks.Go(func(context.Context) { c.e.keep(ctx, r) })
 }
 
+// targetOf returns what callers name to reach the agent; empty when callers
+// cannot. Endpoints that only prefill or only decode answer no whole request.
 func targetOf(d *document.Document, vm member.VM) string {
 	s, found := d.Set(vm.Set)
-	if !found {
+	if !found || s.Role == document.RolePrefill || s.Role == document.RoleDecode {
 		return ""
 	}
 	return s.Target()
