--- a/model/core.pml
+++ b/model/core.pml
@@ -1,9 +1,9 @@
 /*
- * Core protocol of damasktrail: attempts, tickets, answers, leaving endpoints
- * and generations of the document. docs/model.md maps it to the packages.
+ * Core protocol of damasktrail: attempts, tickets, answers and leaving
+ * endpoints. document.pml has the generations. docs/model.md maps both to the
+ * packages.
  *
- * CONFIG 1 searches requests, CONFIG 2 the distribution of the document. A
- * MUTANT_name macro removes one rule, and a LIMIT_name macro asserts a claim
+ * A MUTANT_name macro removes one rule, and a LIMIT_name macro asserts a claim
  * that the design does not meet. model/check runs them all.
  *
  * Every message is an event that stays possible once it was sent: it may be
@@ -12,16 +12,10 @@
  * process takes no step for any length of time, and a timeout can fire at any
  * moment.
  */
-#ifndef CONFIG
-#define CONFIG 1
-#endif
-
 /* The name of the property is part of the text that the checker reports. */
-bool violated_a, violated_b, violated_c, violated_d, violated_e, violated_f;
+bool violated_a, violated_b, violated_c, violated_d, violated_f;
 #define CHECK(property, condition) assert((condition) || violated_##property)
 
-#if CONFIG == 1
-
 #ifndef REQUESTS
 #define REQUESTS 2 /* 1 or 2; the second is a resend or another request */
 #endif
@@ -37,6 +31,9 @@
 #ifndef ENTRYDEATHS
 #define ENTRYDEATHS 1
 #endif
+#ifndef CALLERLEAVES
+#define CALLERLEAVES 1 /* the first caller may close its connection */
+#endif
 #ifndef LEAVES
 #define LEAVES 1
 #endif
@@ -122,7 +119,7 @@
 	:: what == NOTRUN && !TICKETED(q) -> CHECK(c, dispatched[q * 2] + dispatched[q * 2 + 1] == 0)
 	:: else
 	fi;
-	told[q] = what; state[q] = CLOSED; current[q] = 0;
+	told[q] = what; state[q] = CLOSED; current[q] = 0; tried[q] = 0; unsure[q] = false; chunks[q] = 0
 }
 
 inline drop(q) { /* the entry closes the open attempt and counts it as unsure */
@@ -174,7 +171,7 @@
 	:: atomic { state[q] == OPEN && current[q] != 0 ->
 		drop(q);
 #ifdef MUTANT_noend
-		if :: chunks[q] > 0 -> CHECK(d, chunks[q] == 1 && false); tell(q, ANSWER) :: else fi
+		if :: chunks[q] > 0 -> tell(q, ANSWER) :: else fi
 #endif
 		}
 #endif
@@ -201,7 +198,7 @@
 		reset[STREAM(q)] = true; tell(q, NOTRUN) }
 #endif
 	/* The caller goes away. */
-	:: atomic { state[q] == OPEN && q == 0 -> drop(q); tell(q, BROKEN) }
+	:: atomic { CALLERLEAVES && state[q] == OPEN && q == 0 -> drop(q); tell(q, BROKEN) }
 	:: atomic { told[q] != 0 -> break }
 	od
 }
@@ -243,11 +240,12 @@
 #define MAYDISPATCH(a) (!leaving[agent[a]])
 #endif
 
-inline burn() {
-#ifndef MUTANT_noburn
-	ledger = BURNED; digest = body[Q(a)];
+/* A ticket is burned before `not run` is said for it. */
+#ifdef MUTANT_noburn
+#define SPENT UNUSED
+#else
+#define SPENT BURNED
 #endif
-}
 
 inline admit(a) {
 	CHECK(f, !knows[agent[a]]);
@@ -278,7 +276,7 @@
 #ifdef MUTANT_checkfirst
 		:: TICKETED(Q(a)) && VALID && !expired -> refuse(a, NOTRUN)
 #endif
-		:: TICKETED(Q(a)) && VALID && !expired && ledger == UNUSED -> burn(); refuse(a, NOTRUN)
+		:: TICKETED(Q(a)) && VALID && !expired && ledger == UNUSED -> ledger = SPENT; digest = body[Q(a)]; refuse(a, NOTRUN)
 		:: TICKETED(Q(a)) && VALID && !expired && ledger == UNUSED && !LEAVING(a) -> admit(a)
 		:: TICKETED(Q(a)) && VALID && !expired && ledger != UNUSED ->
 			if
@@ -331,7 +329,7 @@
 		ticketruns++; CHECK(b, ticketruns == 1);
 		CHECK(c, !ticketnot[digest]);
 		ticketran[digest] = true; ledger = INSIDE }
-	:: atomic { ledger == QUEUED -> ledger = BURNED; settle(NOTRUN) }
+	:: atomic { ledger == QUEUED -> ledger = SPENT; settle(NOTRUN) }
 	:: atomic { ledger == INSIDE -> ledger = KEPT; settle(ANSWER) }
 	:: atomic { ledger == INSIDE -> ledger = GONE; settle(UNKNOWN) } /* crash */
 #ifdef MUTANT_forget
@@ -393,4 +391,3 @@
 		i = 0
 	}
 }
-#endif
