Aim the limit at efficiency where steps are slow

Cause: an aim of 56 ms per token is out of reach of a slow endpoint and means nothing for a plain service, so the limit fell to 4 and starved both. Change: the aim is at least twice the time at no load, from a decayed line through times and requests inside; services observe whole answers.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -10,18 +10,24 @@
 	// Min and Max bound the number of requests inside the endpoint.
 	Min, Max int
 	// Token is the time between two tokens of an answer that the limit aims at.
+	// The aim is higher where the endpoint cannot do this efficiently, see
+	// [Limit]; with zero only efficiency counts.
 	Token time.Duration
 	// Prefill is how much time of prefill may be started inside the endpoint.
-	// A request is let in while less than this is pending.
+	// A request is let in while less than this is pending. Zero is no bound.
 	Prefill time.Duration
 }
 
 // Defaults returns the settings for an engine. Token is the design's aim of 64
-// ms between tokens with some room; Prefill is half of its aim of 0.52 s to the
-// first token. Min keeps a slow endpoint efficient: batching fewer than four
-// answers wastes most of each step.
+// ms between tokens; Prefill is half of its aim of 0.52 s to the first token.
 func Defaults() Settings {
-	return Settings{Min: 4, Max: 256, Token: 56 * time.Millisecond, Prefill: 260 * time.Millisecond}
+	return Settings{Min: 4, Max: 256, Token: 64 * time.Millisecond, Prefill: 260 * time.Millisecond}
+}
+
+// Service returns the settings for a plain service, which has no tokens. Its
+// agent observes the time of whole answers.
+func Service() Settings {
+	return Settings{Min: 4, Max: 256}
 }
 
 const (
@@ -31,10 +37,20 @@
 	backoff = 0.9
 	// smoothing is the share of a new sample in the mean time per token.
 	smoothing = 0.1
+	// knee is how many times the time at no load the aim is at least. Up to 2 a
+	// batch does more with each request than it costs the others.
+	knee = 2
+	// forget is what a sample leaves of the line through the ones before it, and
+	// ridge the weight of the assumption that there is no time at no load. The
+	// assumption makes the limit fall, which shows whether it is true.
+	forget = 0.998
+	ridge  = 0.0001
 )
 
 // Limit is additive increase and multiplicative decrease on the time between
-// tokens. It raises the number by one for each limit's worth of answers that
+// tokens. The aim is the greater of the one in the settings and twice the time
+// at no load, which it estimates by a line through times and numbers of
+// requests: below that, fewer requests make an endpoint slower, not faster. It raises the number by one for each limit's worth of answers that
 // were within the aim while the limit was in use, and lowers it by a tenth at
 // most once per limit's worth of answers. It is not safe for concurrent use.
 type Limit struct {
@@ -42,6 +58,8 @@
 	value    float64
 	// token is the decayed mean of the samples in seconds; zero before the first.
 	token float64
+	// The decayed sums for the line through (requests inside, seconds).
+	one, x, xx, y, xy float64
 	// since counts the samples since the last decrease.
 	since int
 }
@@ -67,9 +85,12 @@
 		l.token = token.Seconds()
 	}
 	l.token += smoothing * (token.Seconds() - l.token)
+	n := float64(inside)
+	l.one, l.x, l.xx = l.one*forget+1, l.x*forget+n, l.xx*forget+n*n
+	l.y, l.xy = l.y*forget+token.Seconds(), l.xy*forget+n*token.Seconds()
 	l.since++
 	switch {
-	case l.token <= l.settings.Token.Seconds():
+	case l.token <= max(l.settings.Token.Seconds(), knee*l.unloaded()):
 		// An unused limit says nothing about what a higher one would do.
 		if inside+1 >= l.Value() {
 			l.value = min(l.value+1/l.value, float64(l.settings.Max))
@@ -80,6 +101,16 @@
 	}
 }
 
+// unloaded estimates the time between tokens at no load in seconds.
+func (l *Limit) unloaded() float64 {
+	one := l.one + ridge*l.one
+	det := one*l.xx - l.x*l.x
+	if det <= 0 {
+		return 0
+	}
+	return max(0, (l.y*l.xx-l.x*l.xy)/det)
+}
+
 // Fail records that the endpoint broke a request off for lack of room.
 func (l *Limit) Fail() {
 	l.value = max(l.value*backoff, float64(l.settings.Min))
@@ -94,5 +125,5 @@
 	if inside >= l.Value() {
 		return false
 	}
-	return pending == 0 || rate <= 0 || float64(pending) < rate*l.settings.Prefill.Seconds()
+	return pending == 0 || rate <= 0 || l.settings.Prefill == 0 || float64(pending) < rate*l.settings.Prefill.Seconds()
 }
--- a/rig/agent.go
+++ b/rig/agent.go
@@ -163,6 +163,7 @@
 	a.pending += r.info.Cost.Prefill
 	t.dispatched = true
 	var first time.Time
+	started := a.w.loop.now
 	t.job = &job{
 		prompt: r.prompt, output: r.output, tier: r.info.Tier, poison: r.poison,
 		onFirst: func() {
@@ -179,8 +180,11 @@
 			var token time.Duration
 			if r.output > 1 {
 				token = a.w.loop.now.Sub(first) / time.Duration(r.output-1)
-				a.limit.Observe(token, inside)
 			}
+			if a.model == service {
+				token = a.w.loop.now.Sub(started)
+			}
+			a.limit.Observe(token, inside)
 			a.report(r.entry)
 			a.w.loop.after(hop, func() { r.entry.end(t, token) })
 			if a.queued {
--- a/rig/world.go
+++ b/rig/world.go
@@ -139,6 +139,7 @@
 		}
 		if i >= d.Fast+d.Slow {
 			a.endpoint.slow, a.model = serviceSlow, service
+			a.limit = limit.New(limit.Service())
 		}
 		w.agents = append(w.agents, a)
 	}
