--- a/limit/limit.go
+++ b/limit/limit.go
@@ -37,9 +37,9 @@
 	backoff = 0.9
 	// smoothing is the share of a new sample in the mean time per token.
 	smoothing = 0.1
-	// knee is how many times the time at no load the aim is at least. Up to 2 a
-	// batch does more with each request than it costs the others.
-	knee = 2
+	// knee is how many times the time at no load the aim is at least. At 2.5 a
+	// batch does 60% of what it could do without any bound.
+	knee = 2.5
 	// forget is what a sample leaves of the line through the ones before it, and
 	// ridge the weight of the assumption that there is no time at no load. The
 	// assumption makes the limit fall, which shows whether it is true.
@@ -48,8 +48,8 @@
 )
 
 // Limit is additive increase and multiplicative decrease on the time between
-// tokens. The aim is the greater of the one in the settings and twice the time
-// at no load, which it estimates by a line through times and numbers of
+// tokens. The aim is the greater of the one in the settings and 2.5 times the
+// time at no load, which it estimates by a line through times and numbers of
 // requests: below that, fewer requests make an endpoint slower, not faster. It raises the number by one for each limit's worth of answers that
 // were within the aim while the limit was in use, and lowers it by a tenth at
 // most once per limit's worth of answers. It is not safe for concurrent use.
@@ -58,6 +58,9 @@
 	value    float64
 	// token is the decayed mean of the samples in seconds; zero before the first.
 	token float64
+	// settled is set by the first decrease; until then the limit grows by one for
+	// each two answers.
+	settled bool
 	// The decayed sums for the line through (requests inside, seconds).
 	one, x, xx, y, xy float64
 	// since counts the samples since the last decrease.
@@ -93,11 +96,16 @@
 	case l.token <= max(l.settings.Token.Seconds(), knee*l.unloaded()):
 		// An unused limit says nothing about what a higher one would do.
 		if inside+1 >= l.Value() {
-			l.value = min(l.value+1/l.value, float64(l.settings.Max))
+			step := 1 / l.value
+			if !l.settled {
+				step = 0.5
+			}
+			l.value = min(l.value+step, float64(l.settings.Max))
 		}
 	case l.since >= l.Value():
 		l.value = max(l.value*backoff, float64(l.settings.Min))
 		l.since = 0
+		l.settled = true
 	}
 }
 
