--- /dev/null
+++ b/faults/request_test.go
@@ -0,0 +1,202 @@
+package faults
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/standin"
+)
+
+// TestKilledProcess guards against a request that runs twice at an endpoint, an
+// answer that is passed off as whole, and a false "not run", when a process is
+// killed while it holds the request.
+func TestKilledProcess(t *testing.T) {
+	// The outcomes are those of an idempotent streamed request, an idempotent
+	// whole one and one with a ticket. The ticket is sent again through another
+	// entry, as are idempotent requests whose entry died; the last part is the
+	// number of runs at the first and at the second endpoint.
+	const (
+		retried = "whole, ran 1+1"
+		resent  = "broken, again whole, ran at most once per send"
+		kept    = "broken, again whole, ran 1"
+	)
+	rows := []struct {
+		victim, step string
+		want         [3]string
+	}{
+		{"endpoint", "queued", [3]string{"whole, ran 1+0", "whole, ran 1+0", "whole, again whole, ran 1+0"}},
+		{"endpoint", "prefill", [3]string{retried, retried, "unknown/crashed, again unknown/crashed, ran 1+0"}},
+		{"endpoint", "decode", [3]string{"cut, ran 1+0", retried, "unknown/crashed, again unknown/crashed, ran 1+0"}},
+		{"endpoint", "last", [3]string{"cut, ran 1+0", retried, "unknown/crashed, again unknown/crashed, ran 1+0"}},
+		{"agent", "queued", [3]string{"whole, ran 0+1", "whole, ran 0+1", "unknown/lost, again unknown/incarnation, ran 0+0"}},
+		{"agent", "prefill", [3]string{retried, retried, "unknown/lost, again unknown/incarnation, ran 1+0"}},
+		{"agent", "decode", [3]string{"cut, ran 1+0", retried, "unknown/lost, again unknown/incarnation, ran 1+0"}},
+		{"agent", "last", [3]string{"cut, ran 1+0", retried, "unknown/lost, again unknown/incarnation, ran 1+0"}},
+		{"entry", "queued", [3]string{resent, resent, kept}},
+		{"entry", "prefill", [3]string{resent, resent, kept}},
+		{"entry", "decode", [3]string{"cut, again whole, ran at most once per send", resent, kept}},
+		{"entry", "last", [3]string{"cut, again whole, ran at most once per send", resent, kept}},
+	}
+	for _, r := range rows {
+		t.Run(r.victim+" "+r.step, func(t *testing.T) {
+			t.Parallel()
+			s := shape{entries: 2, agents: 2, idle: 1, relays: true, endpoint: []string{"--step", "20ms"}}
+			if r.victim == "entry" {
+				s.agents, s.idle = 1, 0
+			}
+			if r.step == "queued" {
+				s.agent = []string{"--inflight", "1"}
+			}
+			c := start(t, s)
+			sent, got := c.place(r.step)
+			if s.idle > 0 {
+				c.endpoints[1].start()
+				c.usable(1)
+			}
+			c.killAt(r.victim)
+			for i, kind := range []string{"streamed", "whole", "ticket"} {
+				observed := got[i].wait()
+				if r.victim == "entry" || i == 2 {
+					observed += ", again " + c.send(c.entries[1], sent[i]).wait()
+				}
+				ran := c.ran(sent[i])
+				switch {
+				case r.victim != "entry":
+					observed += fmt.Sprintf(", ran %d+%d", ran[0], ran[1])
+				case i == 2 || ran[0] > 2:
+					observed += fmt.Sprintf(", ran %d", ran[0])
+				default:
+					observed += ", ran at most once per send"
+				}
+				report(t, "1 kill", "1 3 4 5", fmt.Sprintf("kill %s, request %s, %s", r.victim, r.step, kind), r.want[i], observed)
+			}
+		})
+	}
+}
+
+// place brings a streamed request, a whole one and one with a ticket to a step
+// at the first endpoint.
+func (c *cluster) place(step string) (sent [3]request, got [3]*answer) {
+	c.t.Helper()
+	prompt, tokens := 50, 30
+	endpoint := c.endpoints[0]
+	switch step {
+	case "queued":
+		endpoint.fault(standin.EndpointFault{Slow: 20})
+		blocker := newRequest(c.t.Name()+" blocker", 10, 10, true)
+		c.send(c.entries[0], blocker)
+		await(c.t, forever, "the blocker runs", func() bool { return c.ran(blocker)[0] == 1 })
+	case "prefill":
+		prompt = 1000
+		endpoint.fault(standin.EndpointFault{Slow: 40})
+	case "decode":
+		endpoint.fault(standin.EndpointFault{Slow: 20})
+	case "last":
+		c.behind[0].hold.Store(true)
+	}
+	ticket := c.ticket(c.entries[0], "ghent")
+	sent[2] = newRequest(c.t.Name()+" ticket", prompt, tokens, false).withTicket(ticket)
+	sent[1] = newRequest(c.t.Name()+" whole", prompt, tokens, false)
+	sent[0] = newRequest(c.t.Name()+" streamed", prompt, tokens, true)
+	for i := 2; i >= 0; i-- {
+		got[i] = c.send(c.entries[0], sent[i])
+		await(c.t, forever, "the request is in place", func() bool {
+			if step == "queued" {
+				s, _ := c.agents[0].status()
+				return s.Load.Waiting == 3-i
+			}
+			return c.ran(sent[i])[0] == 1
+		})
+	}
+	await(c.t, forever, "the step is reached", func() bool {
+		return (step != "decode" || got[0].tokens.Load() >= 2) && (step != "last" || c.behind[0].held.Load() == 3)
+	})
+	for _, a := range got {
+		select {
+		case <-a.done:
+			c.t.Fatalf("a request ended early: %s", a.verdict)
+		default:
+		}
+	}
+	return sent, got
+}
+
+// killAt kills the first process of the kind. An endpoint and an agent are
+// started again, as the platform does.
+func (c *cluster) killAt(victim string) {
+	switch victim {
+	case "endpoint":
+		c.endpoints[0].killEndpoint()
+		close(c.behind[0].dead)
+		c.endpoints[0].start()
+	case "agent":
+		c.agents[0].kill()
+		c.agents[0].start()
+	case "entry":
+		c.entries[0].kill()
+		c.endpoints[0].fault(standin.EndpointFault{})
+	}
+	c.behind[0].hold.Store(false)
+}
+
+// TestTickets guards against a second run of a request with a ticket, and
+// against a ticket that serves another request.
+func TestTickets(t *testing.T) {
+	t.Parallel()
+	c := start(t, shape{entries: 2, agents: 2, endpoint: []string{"--step", "5ms"}})
+	one, two := c.entries[0], c.entries[1]
+	// Each row starts from a request that was answered under a ticket.
+	rows := []struct {
+		fault, want string
+		run         func(r request) []*answer
+	}{
+		{"sent twice at once through two entries", "whole whole, ran 1", func(r request) []*answer {
+			return []*answer{c.send(one, r), c.send(two, r)}
+		}},
+		{"sent again after the answer, streamed", "whole whole, ran 1", func(r request) []*answer {
+			return []*answer{c.send(one, r).ended(), c.send(two, r)}
+		}},
+		{"sent again with another body", "whole not run/mismatch, ran 1", func(r request) []*answer {
+			other := newRequest("another body", 10, 10, true).withTicket(r.ticket)
+			return []*answer{c.send(one, r).ended(), c.send(two, other)}
+		}},
+		{"sent by another organisation", "not run/mismatch whole, ran 1", func(r request) []*answer {
+			other := r
+			other.key = "liege"
+			return []*answer{c.send(two, other).ended(), c.send(one, r)}
+		}},
+		{"without a ticket (428)", "not run/nokey, ran 0", func(r request) []*answer {
+			a := c.send(one, r.withTicket("")).ended()
+			require.Equal(t, 428, a.status)
+			return []*answer{a}
+		}},
+		{"agents replaced after the answer", "whole unknown/incarnation, ran 1", func(r request) []*answer {
+			a := c.send(one, r).ended()
+			for i, p := range c.agents {
+				p.kill()
+				p.start()
+				await(t, forever, "the agent is ready", p.ready)
+				c.usable(i)
+			}
+			return []*answer{a, c.send(two, r)}
+		}},
+	}
+	for i, r := range rows {
+		q := newRequest("ticket row "+r.fault, 10, 10, i%2 == 1).withTicket(c.ticket(one, "ghent"))
+		var got []string
+		for _, a := range r.run(q) {
+			got = append(got, a.wait())
+		}
+		ran := c.ran(q)
+		report(t, "2 ticket", "5", r.fault, r.want, fmt.Sprintf("%s, ran %d", strings.Join(got, " "), ran[0]+ran[1]))
+	}
+}
+
+// ended waits for the end of the answer and returns it.
+func (a *answer) ended() *answer {
+	a.wait()
+	return a
+}
