Count the silence of a link from its last idle moment

An entry gave up a link as soon as an attempt began on it when its latest frame was older than 6 s. Agents beat every 10 s on an idle link, so the first request on one was lost whenever it took longer than the next check (0.5 s) to answer. The silence now counts from the last check without an open attempt.

--- a/entry/remote.go
+++ b/entry/remote.go
@@ -229,8 +229,13 @@
 	defer stop()
 	tasks.Go(s.write)
 	silent := false
+	idle := e.clock.Now()
 	cancel := e.clock.Subscribe(watchInterval, func(now time.Time) {
-		if e.silent(r, s, now) {
+		if r.inflight.Load() == 0 {
+			idle = now
+			return
+		}
+		if e.silent(s, idle, now) {
 			silent = true
 			conn.Close("silent")
 		}
@@ -250,12 +255,10 @@
 }
 
 // silent asks for a beat on a quiet link with open attempts and reports whether
-// the link must be given up.
-func (e *Entry) silent(r *remote, s *session, now time.Time) bool {
-	if r.inflight.Load() == 0 {
-		return false
-	}
-	quiet := now.Sub(time.Unix(0, s.heard.Load()))
+// the link must be given up. An idle link may be quiet for a whole interval of
+// heartbeats, so silence counts from idle, the last time without an attempt.
+func (e *Entry) silent(s *session, idle, now time.Time) bool {
+	quiet := min(now.Sub(time.Unix(0, s.heard.Load())), now.Sub(idle))
 	if quiet >= silenceLimit {
 		e.metrics.Count("links_silent", 1)
 		return true
