Announce every document that comes into force

Cause: the control goroutine of an entry waited for events and for a change of the document in one select. When both were ready and the event was taken, the next wait was for a later change, and the document was not announced. At the target size, where the goroutine is busy for 100 ms after a change, a run with changes in quick succession showed a generation that reached the peers by their heartbeats and none of 264 agents. Change: the goroutine announces before each wait whatever is not announced yet.

--- a/entry/control.go
+++ b/entry/control.go
@@ -85,12 +85,15 @@
 	c := newControl(e)
 	for {
 		documents, members := e.documents.Changed(), e.members.Changed()
+		// Before each wait and not only after a change: when an event is ready
+		// together with a change, select may take the event, and the next channel
+		// is that of a later change.
+		c.announce()
 		c.refresh(e.clock.Now())
 		select {
 		case f := <-e.events:
 			f(c)
 		case <-documents:
-			c.announce()
 		case <-members:
 		case <-ctx.Done():
 			return
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -196,10 +196,11 @@
 }
 
 // announce sends a new document to peers and to the agents that this entry is
-// ranked first for; agents of the next ranks get its generation.
+// ranked first for; agents of the next ranks get its generation. It does
+// nothing when the document in force was announced before.
 func (c *control) announce() {
 	d := c.e.documents.Load()
-	if d == nil {
+	if d == nil || d.Generation == c.announced {
 		return
 	}
 	c.e.log.Info("document in force", "generation", d.Generation)
