--- /dev/null
+++ b/capacity/load.go
@@ -0,0 +1,212 @@
+package capacity
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"damasktrail.dev/group"
+	"damasktrail.dev/member"
+)
+
+// Path is an entry with agents in front of endpoints, to compare with the same
+// endpoints asked directly.
+type Path struct {
+	*Site
+	Entry     Program
+	Agents    []Program
+	Endpoints []Program
+	client    *http.Client
+}
+
+// NewPath starts the programs; each endpoint has one agent.
+func (s *Site) NewPath(endpoints int, step time.Duration) (res *Path, err error) {
+	at, err := addresses("udp")
+	if err != nil {
+		return nil, err
+	}
+	self := member.VM{Name: fmt.Sprintf("path-entry-%d", endpoints), Role: member.RoleEntry, Address: at[0], Domain: HomeDomain}
+	res = &Path{Site: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}}
+	vms := []member.VM{self}
+	for i := range endpoints {
+		at, err := addresses("udp")
+		if err != nil {
+			return nil, err
+		}
+		vm := member.VM{
+			Name: fmt.Sprintf("path-agent-%d-%d", endpoints, i), Role: member.RoleAgent, Address: at[0], Domain: HomeDomain, Set: setName(0),
+		}
+		e, err := s.Endpoint(fmt.Sprintf("path-endpoint-%d-%d", endpoints, i), step)
+		if err != nil {
+			return nil, err
+		}
+		a, err := s.Agent(vm, e.Address)
+		if err != nil {
+			return nil, err
+		}
+		vms = append(vms, vm)
+		res.Agents, res.Endpoints = append(res.Agents, a), append(res.Endpoints, e)
+	}
+	list, err := member.New(1, vms)
+	if err != nil {
+		return nil, err
+	}
+	size := Size{Organisations: 100, Models: 1, Sets: 1}
+	if err := errors.Join(s.platform.PublishDocument(size.Document(1).Encode()), s.platform.PublishVMs(list.Encode())); err != nil {
+		return nil, err
+	}
+	if res.Entry, err = s.Entry(self); err != nil {
+		return nil, err
+	}
+	for _, p := range append(res.Agents, res.Entry) {
+		if err := s.Ready(p.Admin, "/readyz"); err != nil {
+			return nil, fmt.Errorf("%w; log: %s", err, p.Log())
+		}
+	}
+	return res, nil
+}
+
+// Stop ends the programs.
+func (p *Path) Stop() {
+	p.client.CloseIdleConnections()
+	for _, x := range append(append(p.Agents, p.Endpoints...), p.Entry) {
+		x.Stop()
+	}
+}
+
+// Result is what a load run measured.
+type Result struct {
+	Requests, Tokens int
+	Elapsed          time.Duration
+	// First are the times to the first token, Gap the mean times between tokens
+	// of one answer, both in nanoseconds.
+	First, Gap []float64
+	// Entry and Agents are the processor time used.
+	Entry, Agents time.Duration
+}
+
+// Run keeps the given number of streams open for a time, each of which asks again
+// when its answer ends. With direct set it asks the endpoints in turn.
+func (p *Path) Run(streams, tokens int, d time.Duration, direct bool) (res Result, err error) {
+	urls := []string{p.Entry.Address}
+	if direct {
+		urls = urls[:0]
+		for _, e := range p.Endpoints {
+			urls = append(urls, e.Address)
+		}
+	}
+	body, err := json.Marshal(map[string]any{
+		"model": modelName(0), "stream": true, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": "Assess this portfolio of woven damask."}},
+	})
+	if err != nil {
+		return res, err
+	}
+	ctx, cancel := context.WithTimeout(p.tasks.Context(), limit)
+	defer cancel()
+	// A first answer for each stream opens the connections outside the measurement.
+	for _, measured := range []bool{false, true} {
+		if res, err = p.round(ctx, urls, body, streams, d, measured); err != nil {
+			return res, err
+		}
+	}
+	return res, nil
+}
+
+func (p *Path) round(ctx context.Context, urls []string, body []byte, streams int, d time.Duration, measured bool) (res Result, err error) {
+	var mu sync.Mutex
+	entry, agents, err := p.cpu()
+	if err != nil {
+		return res, err
+	}
+	start := p.clock.Now()
+	tasks := group.New(ctx)
+	for i := range streams {
+		url := "http://" + urls[i%len(urls)] + "/v1/chat/completions"
+		tasks.Go(func(ctx context.Context) {
+			for {
+				a, askErr := p.ask(ctx, url, body)
+				mu.Lock()
+				err = errors.Join(err, askErr)
+				stop := err != nil
+				res.Requests++
+				res.Tokens += a.tokens
+				res.First = append(res.First, float64(a.first))
+				res.Gap = append(res.Gap, float64(a.total-a.first)/float64(max(a.tokens-1, 1)))
+				mu.Unlock()
+				if stop || !measured || p.clock.Now().Sub(start) >= d {
+					return
+				}
+			}
+		})
+	}
+	tasks.Wait()
+	res.Elapsed = p.clock.Now().Sub(start)
+	afterEntry, afterAgents, cpuErr := p.cpu()
+	res.Entry, res.Agents = afterEntry-entry, afterAgents-agents
+	return res, errors.Join(err, cpuErr)
+}
+
+func (p *Path) cpu() (entry, agents time.Duration, err error) {
+	entry, err = p.Entry.CPU()
+	for _, a := range p.Agents {
+		d, cpuErr := a.CPU()
+		agents += d
+		err = errors.Join(err, cpuErr)
+	}
+	return entry, agents, err
+}
+
+type answer struct {
+	tokens       int
+	first, total time.Duration
+}
+
+var (
+	errNoEnd = errors.New("the stream has no [DONE]")
+	prefix   = []byte("data: ")
+	done     = []byte("[DONE]")
+	text     = []byte(`"content":"`)
+)
+
+// ask sends one request and reads its answer. It looks for the text of a token
+// without parsing JSON, to leave the processors to the programs measured.
+func (p *Path) ask(ctx context.Context, url string, body []byte) (res answer, err error) {
+	start := p.clock.Now()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return res, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+key)
+	answer, err := p.client.Do(r)
+	if err != nil {
+		return res, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return res, fmt.Errorf("%s answers %d, reason %q", url, answer.StatusCode, answer.Header.Get("Damasktrail-Reason"))
+	}
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		data, found := bytes.CutPrefix(lines.Bytes(), prefix)
+		switch {
+		case !found:
+		case bytes.Equal(data, done):
+			res.total = p.clock.Now().Sub(start)
+			return res, nil
+		case bytes.Contains(data, text):
+			res.tokens++
+			if res.tokens == 1 {
+				res.first = p.clock.Now().Sub(start)
+			}
+		}
+	}
+	return res, errors.Join(errNoEnd, lines.Err())
+}
--- a/link/link.go
+++ b/link/link.go
@@ -94,6 +94,20 @@
 	return &Stream{quic: q}, nil
 }
 
+// Traffic counts what a connection sent and received, including what was sent
+// again, without the headers of UDP and IP.
+type Traffic struct {
+	// Bytes are UDP payload, Packets are UDP datagrams at most; both count the
+	// two directions together.
+	Bytes, Packets uint64
+}
+
+// Traffic returns the counts since the connection was opened.
+func (c *Conn) Traffic() Traffic {
+	s := c.quic.ConnectionStats()
+	return Traffic{Bytes: s.BytesSent + s.BytesReceived, Packets: s.PacketsSent + s.PacketsReceived}
+}
+
 // Close closes the connection and all its streams.
 func (c *Conn) Close(reason string) {
 	_ = c.quic.CloseWithError(codeClosed, reason)
