Rank the entries of all agents over one list of live entries

Change: the live entries of each region are collected once. What is left is sorting, which the place of one entry does not need.

--- a/entry/control.go
+++ b/entry/control.go
@@ -173,9 +173,10 @@
 			c.startAgent(d, vm)
 		}
 	}
+	ranking := member.NewRanking(l, d)
 	for _, r := range c.agents {
 		r.target = targetOf(d, r.vm)
-		r.rank = rankOf(member.Entries(l, d, r.vm, pushRanks), c.e.settings.Name)
+		r.rank = rankOf(ranking.Entries(r.vm, pushRanks), c.e.settings.Name)
 	}
 	c.relinkPeers(l, d, self)
 }
--- a/member/rank.go
+++ b/member/rank.go
@@ -86,30 +86,49 @@
 	return first(candidates, n)
 }
 
+// Ranking answers [Entries] for many agents of one list and document. It is
+// immutable and safe for use by several goroutines.
+type Ranking struct {
+	where regions
+	// live are all live entries, near those of each region.
+	live []VM
+	near map[string][]VM
+}
+
+// NewRanking returns the ranking of the live entries of a list.
+func NewRanking(list *List, d *document.Document) *Ranking {
+	res := &Ranking{where: regionsOf(d), near: map[string][]VM{}}
+	for _, v := range list.VMs {
+		if v.Role == RoleEntry && v.State == StateLive {
+			res.live = append(res.live, v)
+			region := res.where[v.Domain]
+			res.near[region] = append(res.near[region], v)
+		}
+	}
+	return res
+}
+
 // Entries returns the n live entries with the highest rank for the agent. They
 // are those of the agent's region, or of all regions when it has none.
 //
 // The rank is the one by which [Subset] chooses. So the first of them have the
 // agent in their subset nearly always, though Entries does not compute the
 // subsets of all entries to be sure.
-func Entries(list *List, d *document.Document, agent VM, n int) []VM {
-	where := regionsOf(d)
-	var near, far []ranked
-	for _, v := range list.VMs {
-		if v.Role != RoleEntry || v.State != StateLive {
-			continue
-		}
-		r := ranked{v, Rank(v.Name, agent.Name)}
-		if where[v.Domain] == where[agent.Domain] {
-			near = append(near, r)
-		} else {
-			far = append(far, r)
-		}
+func (r *Ranking) Entries(agent VM, n int) []VM {
+	candidates := r.near[r.where[agent.Domain]]
+	if len(candidates) == 0 {
+		candidates = r.live
 	}
-	if len(near) == 0 {
-		near = far
+	list := make([]ranked, len(candidates))
+	for i, v := range candidates {
+		list[i] = ranked{v, Rank(v.Name, agent.Name)}
 	}
-	return first(near, n)
+	return first(list, n)
+}
+
+// Entries returns what [Ranking.Entries] returns, for one agent.
+func Entries(list *List, d *document.Document, agent VM, n int) []VM {
+	return NewRanking(list, d).Entries(agent, n)
 }
 
 // target is the live agents of one model or service set.
--- a/member/rank_test.go
+++ b/member/rank_test.go
@@ -86,8 +86,9 @@
 			b.ReportAllocs()
 			b.ReportMetric(float64(len(agents)), "agents")
 			for b.Loop() {
+				ranking := member.NewRanking(l, d)
 				for _, a := range agents {
-					member.Entries(l, d, a, 3)
+					ranking.Entries(a, 3)
 				}
 			}
 		})
