Compute the place of an entry without sorting

Cause: an entry needs only its own place among the entries of an agent. Change: Ranking.Place counts the entries with a higher rank.

--- a/entry/control.go
+++ b/entry/control.go
@@ -176,7 +176,7 @@
 	ranking := member.NewRanking(l, d)
 	for _, r := range c.agents {
 		r.target = targetOf(d, r.vm)
-		r.rank = rankOf(ranking.Entries(r.vm, pushRanks), c.e.settings.Name)
+		r.rank = ranking.Place(r.vm, c.e.settings.Name)
 	}
 	c.relinkPeers(l, d, self)
 }
--- a/member/rank.go
+++ b/member/rank.go
@@ -126,6 +126,22 @@
 	return first(list, n)
 }
 
+// Place returns the place, from 0, that the named entry has or would have among
+// the entries of an agent. It sorts nothing and allocates nothing.
+func (r *Ranking) Place(agent VM, name string) int {
+	candidates := r.near[r.where[agent.Domain]]
+	if len(candidates) == 0 {
+		candidates = r.live
+	}
+	own, res := Rank(name, agent.Name), 0
+	for _, v := range candidates {
+		if other := Rank(v.Name, agent.Name); other > own || other == own && v.Name < name {
+			res++
+		}
+	}
+	return res
+}
+
 // Entries returns what [Ranking.Entries] returns, for one agent.
 func Entries(list *List, d *document.Document, agent VM, n int) []VM {
 	return NewRanking(list, d).Entries(agent, n)
--- a/member/rank_test.go
+++ b/member/rank_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"damasktrail.dev/document"
 	"damasktrail.dev/member"
 )
 
 // fleet returns a document and a list in the proportions of the target size.
-func fleet(b *testing.B, n int) (*document.Document, *member.List) {
+func fleet(b testing.TB, n int) (*document.Document, *member.List) {
 	b.Helper()
 	d := &document.Document{Generation: 1, Policy: document.PolicyCost, Tiers: []document.Tier{{Name: "only", Deadline: 1e9}}}
 	for i := range 23 {
@@ -44,6 +46,24 @@
 	return parsed, list
 }
 
+// TestPlaceIsThatInEntries guards against an entry that does not push to an agent
+// which the design gives to it.
+func TestPlaceIsThatInEntries(t *testing.T) {
+	d, l := fleet(t, 2000)
+	r := member.NewRanking(l, d)
+	agents := 0
+	for _, a := range l.VMs {
+		if a.Role != member.RoleAgent {
+			continue
+		}
+		agents++
+		for i, e := range member.Entries(l, d, a, 5) {
+			require.Equal(t, i, r.Place(a, e.Name))
+		}
+	}
+	require.Greater(t, agents, 1800)
+}
+
 var counts = []int{1000, 4000, 12540}
 
 func BenchmarkParse(b *testing.B) {
@@ -75,9 +95,9 @@
 	}
 }
 
-// BenchmarkEntries measures the ranks that an entry has among the entries of
+// BenchmarkPlace measures the places that an entry has among the entries of
 // each of its agents, which it computes anew with each document and list.
-func BenchmarkEntries(b *testing.B) {
+func BenchmarkPlace(b *testing.B) {
 	for _, n := range counts {
 		d, l := fleet(b, n)
 		self, _ := l.VM("vm-00000")
@@ -88,7 +108,7 @@
 			for b.Loop() {
 				ranking := member.NewRanking(l, d)
 				for _, a := range agents {
-					ranking.Entries(a, 3)
+					ranking.Place(a, self.Name)
 				}
 			}
 		})
