--- a/member/rank.go
+++ b/member/rank.go
@@ -106,18 +106,52 @@
 	return first(candidates, n)
 }
 
+// Ranking ranks the live entries of one list and document for many agents. It
+// is immutable and safe for use by several goroutines.
+type Ranking struct {
+	where regions
+	// near are the live entries of each region.
+	near map[string][]*VM
+}
+
+// NewRanking returns the ranking of the live entries of a list.
+func NewRanking(list *List, d *document.Document) *Ranking {
+	res := &Ranking{where: regionsOf(d), near: map[string][]*VM{}}
+	for _, v := range list.entries {
+		region := res.where[v.Domain]
+		res.near[region] = append(res.near[region], v)
+	}
+	return res
+}
+
 // Entries returns the n live entries of the agent's region with the highest
 // rank for the agent, the first first. [Subset] of the first [Sponsors] of them
 // has the agent.
-func Entries(list *List, d *document.Document, agent VM, n int) []VM {
-	where := regionsOf(d)
+func (r *Ranking) Entries(agent VM, n int) []VM {
 	var candidates []ranked
-	for _, v := range where.entries(list, where[agent.Domain]) {
+	for _, v := range r.near[r.where[agent.Domain]] {
 		candidates = append(candidates, ranked{v, Rank(v.Name, agent.Name)})
 	}
 	return first(candidates, n)
 }
 
+// Place returns the place, from 0, that the named entry has or would have among
+// the entries of an agent. It sorts nothing and allocates nothing.
+func (r *Ranking) Place(agent VM, name string) int {
+	own, res := Rank(name, agent.Name), 0
+	for _, v := range r.near[r.where[agent.Domain]] {
+		if other := Rank(v.Name, agent.Name); other > own || other == own && v.Name < name {
+			res++
+		}
+	}
+	return res
+}
+
+// Entries returns what [Ranking.Entries] returns, for one agent.
+func Entries(list *List, d *document.Document, agent VM, n int) []VM {
+	return NewRanking(list, d).Entries(agent, n)
+}
+
 // target is the live agents of one model or service set.
 type target struct {
 	// near are in the entry's region, far in all others.
--- a/member/rank_test.go
+++ b/member/rank_test.go
@@ -297,11 +297,15 @@
 }
 
 func BenchmarkSubset(b *testing.B) {
-	f := newFleet(b, 7, 24, 540, 12000)
-	l := f.list(b, nil)
-	b.ReportAllocs()
-	for b.Loop() {
-		member.Subset(f.vms[0], l, f.document, 11)
+	for _, n := range sizes {
+		f := newFleet(b, 7, 24, n[0], n[1])
+		l := f.list(b, nil)
+		b.Run(fmt.Sprint(n[0]+n[1]), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				member.Subset(f.vms[0], l, f.document, perTarget)
+			}
+		})
 	}
 }
 
@@ -315,10 +319,15 @@
 }
 
 func BenchmarkParse(b *testing.B) {
-	data := newFleet(b, 7, 24, 540, 12000).list(b, nil).Encode()
-	b.SetBytes(int64(len(data)))
-	for b.Loop() {
-		_, err := member.Parse(data)
-		require.NoError(b, err)
+	for _, n := range sizes {
+		data := newFleet(b, 7, 24, n[0], n[1]).list(b, nil).Encode()
+		b.Run(fmt.Sprint(n[0]+n[1]), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(len(data)))
+			for b.Loop() {
+				_, err := member.Parse(data)
+				require.NoError(b, err)
+			}
+		})
 	}
 }
