Bound slow callers, see the end of an outage in time, keep leaving VMs out

Cause, found by reading: a caller that reads nothing held a place inside an endpoint for good; after an outage a deployment of 3 entries could wait 15 s for its next read, against 9 s; the VM list's word that a VM leaves was lost when its link was made anew; the floor was not raised when the last of several refusals had another reason than lack of room. Change: write and read deadlines of 30 s; the longest pause after failed reads follows the number of entries, 1 s at 3 and 10 s at 540; the VM list's state is kept apart from the agent's; any refusal for lack of room counts.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -38,6 +38,8 @@
 	uncertain bool
 	// last is the refusal of the latest attempt, nil before the first.
 	last *damasktrail.Refusal
+	// full says that an agent had no room.
+	full bool
 	// stale counts attempts that met a newer document.
 	stale int
 	// raised says that the floor was raised for the request.
@@ -106,6 +108,7 @@
 	case damasktrail.ReasonPoisoned, damasktrail.ReasonMalformed:
 		return false
 	default:
+		p.full = p.full || p.last.Reason == damasktrail.ReasonFull
 		p.excluded[r.vm.Name] = true
 	}
 	return true
@@ -114,7 +117,7 @@
 // reopen raises the floor when all agents were full, and allows one more round
 // over those that confirmed not to have run the request.
 func (e *Entry) reopen(ctx context.Context, s *snapshot, c *call, p *progress) bool {
-	if p.raised || p.uncertain || p.last == nil || p.last.Reason != damasktrail.ReasonFull {
+	if p.raised || p.uncertain || !p.full {
 		return false
 	}
 	p.raised = true
--- a/entry/control.go
+++ b/entry/control.go
@@ -156,13 +156,13 @@
 		switch {
 		case found && vm.Address == r.vm.Address && (keep || r.inflight.Load() > 0):
 			// A leaving agent keeps its link while answers are on the way.
-			if vm.State == member.StateLeaving {
-				r.leaving.Store(true)
+			r.listed.Store(vm.State == member.StateLeaving)
+			if r.listed.Load() {
 				c.tellLeaving(r)
 			}
 		case !found && r.inflight.Load() > 0:
 			// The list lags and can lack a VM that still answers.
-			r.leaving.Store(true)
+			r.listed.Store(true)
 		default:
 			r.stop()
 			delete(c.agents, name)
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -26,7 +26,7 @@
 	e := &Entry{
 		clock: timer.New(tasks), metrics: m, log: slog.New(slog.DiscardHandler), tasks: tasks,
 		documents: documents, members: members, rollout: rollout.New(documents, members, m.Count),
-		events: make(chan func(*control), events),
+		events: make(chan func(*control), events), learned: newLearned(),
 	}
 	tasks.Go(e.own)
 	for generation := uint64(1); generation <= 200; generation++ {
--- a/entry/output.go
+++ b/entry/output.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"damasktrail.dev"
 	"damasktrail.dev/frame"
@@ -15,6 +16,10 @@
 // last chunk.
 const maxBuffered = 8 << 20
 
+// writeTimeout bounds the time for which a caller may read nothing. Its request
+// holds a place inside the endpoint for that time.
+const writeTimeout = 30 * time.Second
+
 // output writes one answer to the caller. Nothing is written before the first
 // data, so that a request can still be retried while its prompt is processed.
 type output struct {
@@ -55,6 +60,8 @@
 		o.buffer.Write(b)
 		return nil
 	}
+	// Not every ResponseWriter has deadlines; those of net/http have.
+	_ = http.NewResponseController(o.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if !o.written {
 		o.writeHead()
 		if _, err := o.w.Write(o.buffer.Bytes()); err != nil {
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -22,12 +22,38 @@
 	staleMax  = 10 * time.Second
 	// dutyInterval is that of the check whether this entry is on duty.
 	dutyInterval = 500 * time.Millisecond
-	// failMin and failMax bound the pause after a failed read. At failMax all
-	// 540 entries together make 108 reads a second of about 2,000.
-	failMin = 500 * time.Millisecond
-	failMax = 10 * time.Second
+	// failMin and failMax bound the pause after a failed read, and failRate is
+	// the rate in reads per second that all entries together then make at most,
+	// of about 2,000. Few entries can try more often, and so see the end of an
+	// outage within the 9 s in which a change must be in force.
+	failMin  = 500 * time.Millisecond
+	failMax  = 10 * time.Second
+	failRate = 100
+	// values is the number of values that each entry reads.
+	values = 2
 )
 
+// longestPause returns the longest pause after failed reads with the given
+// number of entries.
+func longestPause(entries int) time.Duration {
+	return min(max(time.Duration(entries)*values*time.Second/failRate, time.Second), failMax)
+}
+
+// entriesKnown returns the number of entries in the VM list.
+func (e *Entry) entriesKnown() int {
+	l := e.members.Load()
+	if l == nil {
+		return 1
+	}
+	res := 0
+	for _, vm := range l.VMs {
+		if vm.Role == member.RoleEntry {
+			res++
+		}
+	}
+	return res
+}
+
 // onDuty reports whether this entry reads the platform now. Entries decide by
 // themselves; when their views differ there are more or fewer readers for a
 // while, which does no harm because reading changes nothing.
@@ -80,6 +106,6 @@
 		if e.clock.Sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause)))) != nil {
 			return
 		}
-		pause = min(2*pause, failMax)
+		pause = min(2*pause, longestPause(e.entriesKnown()))
 	}
 }
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -52,7 +52,8 @@
 	// session is the live connection, nil while there is none.
 	session atomic.Pointer[session]
 	latest  atomic.Pointer[report]
-	leaving atomic.Bool
+	// leaving is what the agent says of itself, listed what the VM list says.
+	leaving, listed atomic.Bool
 	// prefill and decode are the tokens sent since the latest report.
 	prefill, decode atomic.Int64
 	inflight        atomic.Int64
@@ -113,7 +114,7 @@
 
 // usable reports whether new attempts may go to the agent.
 func (r *remote) usable() bool {
-	if r.leaving.Load() || r.session.Load() == nil {
+	if r.leaving.Load() || r.listed.Load() || r.session.Load() == nil {
 		return false
 	}
 	l := r.latest.Load()
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -8,12 +8,16 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"damasktrail.dev"
 )
 
+// bodyTimeout bounds the time to read a request's body.
+const bodyTimeout = 30 * time.Second
+
 // routes returns the callers' interface.
 func (e *Entry) routes() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
@@ -54,6 +58,7 @@
 	if refusal := c.identify(s.document, g.Request.Header); refusal != nil {
 		return s, c, refusal
 	}
+	_ = http.NewResponseController(g.Writer).SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(g.Writer, g.Request.Body, e.settings.Body))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -65,6 +70,7 @@
 	if err != nil {
 		return s, c, malformed("the body cannot be read")
 	}
+	_ = http.NewResponseController(g.Writer).SetReadDeadline(time.Time{})
 	c.body = body
 	return s, c, nil
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -62,7 +62,7 @@
 	switch {
 	case r.session.Load() == nil:
 		res.State = "unreachable"
-	case r.leaving.Load():
+	case r.leaving.Load() || r.listed.Load():
 		res.State = "leaving"
 	case !r.usable():
 		res.State = "unhealthy"
