Give services a limit of their own

Cause: services wait behind a limit at 60% of what they can do, and the rig took the time of their whole answers for the time of a token. Change: the factor over the time at no load is a setting, 6 for services; the rig divides; the ridge of the line is small enough not to hide the time at no load, which TestSlowSteps now checks for both settings. A domain loss and a crash still draw requests to the dead.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -13,6 +13,9 @@
 	// The aim is higher where the endpoint cannot do this efficiently, see
 	// [Limit]; with zero only efficiency counts.
 	Token time.Duration
+	// Knee is how many times the time at no load the aim is at least. At 2.5 a
+	// batch does 60% of what it could do without any bound, at 6 it does 83%.
+	Knee float64
 	// Prefill is how much time of prefill may be started inside the endpoint.
 	// A request is let in while less than this is pending. Zero is no bound.
 	Prefill time.Duration
@@ -21,13 +24,14 @@
 // Defaults returns the settings for an engine. Token is the design's aim of 64
 // ms between tokens; Prefill is half of its aim of 0.52 s to the first token.
 func Defaults() Settings {
-	return Settings{Min: 4, Max: 256, Token: 64 * time.Millisecond, Prefill: 260 * time.Millisecond}
+	return Settings{Min: 4, Max: 256, Token: 64 * time.Millisecond, Knee: 2.5, Prefill: 260 * time.Millisecond}
 }
 
 // Service returns the settings for a plain service, which has no tokens. Its
-// agent observes the time of whole answers.
+// agent observes the time of whole answers. Nothing is known of the time that
+// its callers expect, so throughput counts for more.
 func Service() Settings {
-	return Settings{Min: 4, Max: 256}
+	return Settings{Min: 4, Max: 256, Knee: 6}
 }
 
 const (
@@ -37,19 +41,16 @@
 	backoff = 0.9
 	// smoothing is the share of a new sample in the mean time per token.
 	smoothing = 0.1
-	// knee is how many times the time at no load the aim is at least. At 2.5 a
-	// batch does 60% of what it could do without any bound.
-	knee = 2.5
 	// forget is what a sample leaves of the line through the ones before it, and
 	// ridge the weight of the assumption that there is no time at no load. The
 	// assumption makes the limit fall, which shows whether it is true.
 	forget = 0.998
-	ridge  = 0.0001
+	ridge  = 0.00002
 )
 
 // Limit is additive increase and multiplicative decrease on the time between
-// tokens. The aim is the greater of the one in the settings and 2.5 times the
-// time at no load, which it estimates by a line through times and numbers of
+// tokens. The aim is the greater of the one in the settings and a multiple
+// of the time at no load, which it estimates by a line through times and numbers of
 // requests: below that, fewer requests make an endpoint slower, not faster. It raises the number by one for each limit's worth of answers that
 // were within the aim while the limit was in use, and lowers it by a tenth at
 // most once per limit's worth of answers. It is not safe for concurrent use.
@@ -93,7 +94,7 @@
 	l.y, l.xy = l.y*forget+token.Seconds(), l.xy*forget+n*token.Seconds()
 	l.since++
 	switch {
-	case l.token <= max(l.settings.Token.Seconds(), knee*l.unloaded()):
+	case l.token <= max(l.settings.Token.Seconds(), l.settings.Knee*l.unloaded()):
 		// An unused limit says nothing about what a higher one would do.
 		if inside+1 >= l.Value() {
 			step := 1 / l.value
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -33,13 +33,16 @@
 // Guards against a limit that shrinks to nothing where a step takes long even
 // for one request, and fewer requests only waste the steps.
 func TestSlowSteps(t *testing.T) {
-	for _, s := range []limit.Settings{limit.Defaults(), limit.Service()} {
-		l := limit.New(s)
-		for range 5000 {
+	for _, tt := range []struct {
+		settings limit.Settings
+		want     float64
+	}{{limit.Defaults(), 60}, {limit.Service(), 200}} {
+		l := limit.New(tt.settings)
+		for range 50000 {
 			n := l.Value()
 			l.Observe(time.Duration(200+5*n)*time.Millisecond, n)
 		}
-		require.InDelta(t, 60, l.Value(), 12)
+		require.InDelta(t, tt.want, l.Value(), tt.want/5)
 	}
 }
 
--- a/rig/agent.go
+++ b/rig/agent.go
@@ -53,7 +53,11 @@
 		a.speed = a.speed.With(e.busy-a.busy, float64(e.first-a.first), float64(e.tokens-a.tokens))
 		a.busy, a.first, a.tokens = e.busy, e.first, e.tokens
 		a.pRate, a.dRate = a.speed.Rates()
-		a.waiting.SetRates(queue.Rates{Prefill: a.pRate, Decode: a.dRate, Token: a.limit.Token()})
+		rates := queue.Rates{Prefill: a.pRate, Decode: a.dRate, Token: a.limit.Token()}
+		if a.model == service {
+			rates.Token /= serviceTokens // The limit measures whole answers.
+		}
+		a.waiting.SetRates(rates)
 		a.pump()
 		if !a.w.loop.now.Before(a.lastReport.Add(heartbeat)) {
 			for _, en := range a.w.entries {
--- a/rig/world.go
+++ b/rig/world.go
@@ -57,6 +57,9 @@
 // serviceSlow makes calls of the services about a fifth of all requests.
 const serviceSlow = 10
 
+// serviceTokens is about the mean number of steps of a call of a service.
+const serviceTokens = 11
+
 // The names of the model and of the plain service.
 const (
 	model   = "model"
