Stop drawing requests to agents that are gone

Cause: the cost policy credits an agent with work for all the time since its report, so a lost one looks idle, and a crashed one has no load at all.

--- a/policy/cost.go
+++ b/policy/cost.go
@@ -17,6 +17,9 @@
 	// doubt is the share of a report's age that is added to the spread: other
 	// entries sent work since then that this one does not know of.
 	doubt = 0.05
+	// maxDone bounds the age, in seconds, for which an agent is taken to have
+	// worked on what it reported.
+	maxDone = 1
 	// maxDoubt bounds the age that counts, in seconds.
 	maxDoubt = 10
 )
@@ -78,9 +81,10 @@
 	if c.Load.PrefillRate > 0 && c.Load.DecodeRate > 0 {
 		prefill, decode = c.Load.PrefillRate, c.Load.DecodeRate
 	}
-	// The endpoint has worked on what it reported since then.
+	// The endpoint has worked on what it reported since then. This counts for a
+	// short time only: an agent that is lost reports nothing and is not idle.
 	ahead := float64(c.Load.Prefill+c.Sent.Prefill)/prefill + float64(c.Load.Decode+c.Sent.Decode)/decode
-	ahead = max(0, ahead-c.Age.Seconds())
+	ahead = max(0, ahead-min(c.Age.Seconds(), maxDone))
 	own := float64(r.Cost.Prefill) * (1 - min(max(c.Cached, 0), 1)) / prefill
 	// Tokens of one answer come at the speed of all divided by their number.
 	inside := c.Load.Running + 1
