Count a long answer against the deadline

Cause: with the expected length half of the answers are longer, and prefill was spent on answers that came too late. Change: an item carries the length that one answer in ten exceeds, and the queue uses it against the deadline; lengths are learned per size class of the body too.

--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 
 	"damasktrail.dev"
@@ -22,8 +23,8 @@
 	// trust is the number of answers of an organisation after which its own mean
 	// counts as much as that of the model.
 	trust = 5.0
-	// maxPairs bounds the pairs of organisation and model that are learned apart:
-	// 2,200 organisations and 24 models. Pairs beyond it use the model's mean.
+	// maxPairs bounds the streams that are learned apart: 2,200 organisations and
+	// 24 models, in any size class. Streams beyond it use the model's mean.
 	maxPairs = 2200 * 24
 )
 
@@ -44,8 +45,15 @@
 // Weight returns the number of values that the mean stands for, at most 50.
 func (m Mean) Weight() float64 { return m.weight }
 
-// pair names a stream of similar requests.
-type pair struct{ organisation, model string }
+// pair names a stream of similar requests. Answers to long prompts differ from
+// those to short ones.
+type pair struct {
+	organisation, model string
+	class               int
+}
+
+// class returns the size class of a body; each is eight times the one before.
+func class(body int) int { return bits.Len(uint(body)) / 3 }
 
 // length is what is learned of one stream of requests: means of the logarithm
 // of the length of answers and of its square. A decayed mean of the logarithm
@@ -88,7 +96,7 @@
 		return
 	}
 	l.models[model] = l.models[model].with(u.Decode)
-	k := pair{organisation, model}
+	k := pair{organisation, model, class(body)}
 	old, found := l.pairs[k]
 	if found || len(l.pairs) < maxPairs {
 		l.pairs[k] = old.with(u.Decode)
@@ -101,28 +109,28 @@
 	if m := l.bytes[model]; m.Weight() > 0 {
 		perByte = m.Value()
 	}
-	mu, variance := l.decode(organisation, model)
+	mu, variance := l.decode(organisation, model, body)
 	return damasktrail.Cost{
 		Prefill: max(1, int(math.Ceil(float64(body)*perByte))),
 		Decode:  max(1, int(math.Round(math.Exp(mu+variance/2)))),
 	}
 }
 
-// Longest estimates the length in tokens that one answer in a hundred exceeds.
-func (l *Lengths) Longest(organisation, model string) int {
-	mu, variance := l.decode(organisation, model)
-	const z = 2.33 // the 0.99 quantile of the normal distribution
+// Longest estimates the length in tokens that one answer in ten exceeds.
+func (l *Lengths) Longest(organisation, model string, body int) int {
+	mu, variance := l.decode(organisation, model, body)
+	const z = 1.28 // the 0.9 quantile of the normal distribution
 	return max(1, int(math.Round(math.Exp(mu+z*math.Sqrt(variance)))))
 }
 
 // decode returns the mean and variance of the logarithm of the length. The
-// organisation's own answers count the more, the more of them were seen.
-func (l *Lengths) decode(organisation, model string) (mu, variance float64) {
+// stream's own answers count the more, the more of them were seen.
+func (l *Lengths) decode(organisation, model string, body int) (mu, variance float64) {
 	m := l.models[model]
 	if m.log.Weight() == 0 {
 		return math.Log(defaultDecode), 0
 	}
-	p := l.pairs[pair{organisation, model}]
+	p := l.pairs[pair{organisation, model, class(body)}]
 	share := p.log.Weight() / (p.log.Weight() + trust)
 	mu = share*p.log.Value() + (1-share)*m.log.Value()
 	square := share*p.square.Value() + (1-share)*m.square.Value()
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -71,12 +71,23 @@
 	ID string
 	// Request is what decisions need. Its Deadline counts from Push.
 	Request damasktrail.Request
+	// Longest is a number of generated tokens that the answer hardly exceeds. It
+	// counts against the deadline instead of the expected number when it is
+	// greater, so that prefill is not spent on answers that come too late.
+	Longest int
 	// Ticketed marks an item that [Queue.Drain] leaves.
 	Ticketed bool
 	// Value belongs to the caller.
 	Value T
 }
 
+// service returns how long the item may take from dispatch to its last token.
+func (it *Item[T]) service(r Rates) time.Duration {
+	c := it.Request.Cost
+	c.Decode = max(c.Decode, it.Longest)
+	return r.Service(c)
+}
+
 // node is an item with its places in the structures that hold it.
 type node[T any] struct {
 	item     Item[T]
@@ -204,7 +215,7 @@
 		}
 	}
 	wait := q.Wait(it.Request)
-	if need := wait + q.rates.Service(it.Request.Cost); need > it.Request.Deadline {
+	if need := wait + it.service(q.rates); need > it.Request.Deadline {
 		return nil, &damasktrail.Refusal{
 			Reason: damasktrail.ReasonDeadline, Outcome: damasktrail.NotRun, RetryAfter: retry(wait),
 			Detail: fmt.Sprintf("the answer needs %v and %v are left",
@@ -294,7 +305,7 @@
 	for _, t := range q.tiers {
 		for t.count > 0 {
 			n := t.next()
-			late := now.Add(q.rates.Service(n.item.Request.Cost)).After(n.deadline)
+			late := now.Add(n.item.service(q.rates)).After(n.deadline)
 			if !late {
 				n.flow.deficit -= weight(n.item.Request.Cost)
 				return q.remove(n), true
@@ -368,7 +379,7 @@
 	deadline := now.Add(it.Request.Deadline)
 	*n = node[T]{
 		item: it, deadline: deadline,
-		latest: deadline.Add(-q.rates.Service(it.Request.Cost)),
+		latest: deadline.Add(-it.service(q.rates)),
 		tier:   q.tier(it.Request.Tier),
 	}
 	n.tier.insert(n, q.share(it.Request.Organisation))
