--- a/faults/harness_test.go
+++ b/faults/harness_test.go
@@ -670,6 +670,8 @@
 	out *net.UDPConn
 	// up and down are true while the direction is silent.
 	up, down bool
+	// answered is true once a datagram came back.
+	answered bool
 }
 
 func newUDPRelay(c *cluster, target string) *udpRelay {
@@ -716,6 +718,7 @@
 		r.mu.Lock()
 		if err == nil && !f.down && !r.closed {
 			r.in.WriteToUDPAddrPort(b[:n], to)
+			f.answered = true
 		}
 		r.mu.Unlock()
 	}
@@ -730,6 +733,18 @@
 	}
 }
 
+// answered returns the number of flows that work in both directions.
+func (r *udpRelay) answered() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.flows {
+		if f.answered && !f.up && !f.down {
+			n++
+		}
+	}
+	return n
+}
+
 // cut drops everything until it is called with false.
 func (r *udpRelay) cut(on bool) {
 	r.mu.Lock()
--- a/faults/request_test.go
+++ b/faults/request_test.go
@@ -16,6 +16,7 @@
 // answer that is passed off as whole, and a false "not run", when a process is
 // killed while it holds the request.
 func TestKilledProcess(t *testing.T) {
+	t.Parallel()
 	// The outcomes are those of an idempotent streamed request, an idempotent
 	// whole one and one with a ticket. The ticket is sent again through another
 	// entry, as are idempotent requests whose entry died; the last part is the
