--- a/rig/entry.go
+++ b/rig/entry.go
@@ -17,6 +17,9 @@
 	gossip      = 100 * time.Millisecond
 	// silence is how long a link with open attempts may be silent.
 	silence = 6 * time.Second
+	// crashPause is how long an entry leaves out an agent that reports a crash or
+	// is not ready.
+	crashPause = time.Second
 	// poisonCrashes is how many crashes name a request as their cause.
 	poisonCrashes = 2
 )
@@ -26,6 +29,7 @@
 	id             int
 	info           damasktrail.Request
 	body           int
+	longest        int
 	prompt, output int
 	poison         bool
 	arrival        time.Time
@@ -62,7 +66,9 @@
 	sent     damasktrail.Cost
 	inflight int
 	closed   bool
-	open     map[*attempt]struct{}
+	// out is the end of a short exclusion after a crash.
+	out  time.Time
+	open map[*attempt]struct{}
 }
 
 // entry is a fake of the process that takes callers' requests.
@@ -87,6 +93,7 @@
 func (en *entry) arrive(r *request) {
 	r.entry = en
 	r.info.Cost = en.lengths.Cost(r.info.Organisation, r.info.Model, r.body)
+	r.longest = en.lengths.Longest(r.info.Organisation, r.info.Model, r.body)
 	if en.crashes[r.info.Fingerprint] >= poisonCrashes {
 		en.giveUp(r, damasktrail.ReasonPoisoned, nil)
 		return
@@ -105,7 +112,7 @@
 	for pass := 0; pass < 2 && len(views) == 0; pass++ {
 		for _, v := range en.views {
 			a := v.agent
-			if a.model != r.info.Model || v.closed || r.tried[a] || pass == 0 && en.health[a.model].Ejected(a.name, now) {
+			if a.model != r.info.Model || v.closed || r.tried[a] || pass == 0 && (now.Before(v.out) || en.health[a.model].Ejected(a.name, now)) {
 				continue
 			}
 			views = append(views, v)
@@ -196,6 +203,9 @@
 		r.ran[t.agent] = true
 		en.health[t.agent.model].Fail(t.agent.name, en.w.loop.now)
 	}
+	if refusal.Reason == damasktrail.ReasonCrashed || refusal.Reason == damasktrail.ReasonNotReady {
+		en.byAgent[t.agent].out = en.w.loop.now.Add(crashPause)
+	}
 	if refusal.Reason == damasktrail.ReasonCrashed {
 		for _, o := range en.w.entries {
 			o.crashes[r.info.Fingerprint]++
@@ -208,9 +218,10 @@
 		en.giveUp(r, damasktrail.ReasonPoisoned, t)
 	case r.streamed:
 		en.giveUp(r, refusal.Reason, t)
-	case refusal.Reason == damasktrail.ReasonFull && en.lowerWaits(r):
+	case refusal.Reason == damasktrail.ReasonFull && (en.lowerWaits(r) || r.held):
 		// Asking where a lower tier waits keeps the order of the tiers. It costs
-		// no work of an endpoint and ends with the subset, so it is no retry.
+		// no work of an endpoint and ends with the subset, so it is no retry. After
+		// a floor every agent is asked, as reports may be old.
 		en.send(r, refusal)
 	case en.budget.Take(r.info.Organisation):
 		en.w.tally.retries++
