Give up an answer in one piece after its deadline

Cause: on a connection to the endpoint that went silent an answer in one piece held its caller and a place inside the endpoint for 10 minutes. Change: Call has a patience, the deadline and 2 s; a refusal after a lost attempt keeps the reason of that attempt.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -15,6 +15,10 @@
 	"damasktrail.dev/ticket"
 )
 
+// patienceSlack is how long after its deadline an answer in one piece is still
+// awaited.
+const patienceSlack = 2 * time.Second
+
 // syncTimeout bounds the wait for a document that an entry has and the agent
 // has not.
 const syncTimeout = 2 * time.Second
@@ -194,6 +198,9 @@
 		Type:   open.Type,
 		Body:   open.Body,
 		Stream: open.Stream,
+		// The deadline counts from the arrival at the entry, the patience from the
+		// dispatch; so the time in the queue is part of the slack.
+		Patience: w.request.Deadline + patienceSlack,
 	})
 	if err != nil {
 		return usage, a.failure(ctx, w, err)
--- a/engine.go
+++ b/engine.go
@@ -18,6 +18,10 @@
 	// Stream says that the answer is a server-sent event stream that ends with
 	// the event [DONE].
 	Stream bool
+	// Patience is how long an answer in one piece may send nothing before it is
+	// given up. It cannot be told from an answer on a silent connection. Zero
+	// leaves it to the implementation.
+	Patience time.Duration
 }
 
 // Head describes an answer before its first byte.
--- a/engine/answer.go
+++ b/engine/answer.go
@@ -68,9 +68,13 @@
 
 func newAnswer(ctx context.Context, c *Client, call damasktrail.Call) *answer {
 	a := &answer{ctx: ctx, c: c, call: call, stream: call.Stream && !c.settings.Service}
-	a.limit = c.settings.Whole
-	if call.Stream {
+	switch {
+	case call.Stream:
 		a.limit = c.settings.Silence
+	case call.Patience > 0:
+		a.limit = min(call.Patience, c.settings.Whole)
+	default:
+		a.limit = c.settings.Whole
 	}
 	return a
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -63,7 +63,10 @@
 	for {
 		s := e.snapshot.Load()
 		if refusal := e.admissible(s, c); refusal != nil {
-			return settle(refusal, p.uncertain)
+			if p.uncertain {
+				return p.last // It says more about the request than the later refusal.
+			}
+			return refusal
 		}
 		r := e.choose(s, c, p.excluded)
 		if r == nil {
