Leave from a new port after any timeout of a link

A link whose QUIC idle timeout ended it was redialled from the same port, and a silent path lost a dial of 3 s before the next try left from a new one. QUIC's own timeouts are not context.DeadlineExceeded and now count as well.

--- a/entry/remote.go
+++ b/entry/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,7 +156,7 @@
 			err = serve(conn)
 			conn.Close("done")
 		}
-		fresh = errors.Is(err, errSilent) || errors.Is(err, context.DeadlineExceeded)
+		fresh = errors.Is(err, errSilent) || timedOut(err)
 		e.log.Debug("link ended", "address", address, "error", err)
 		if e.clock.Sleep(ctx, jitter(pause)) != nil {
 			return
@@ -164,6 +165,13 @@
 	}
 }
 
+// timedOut reports whether a dial or a connection ended because nothing arrived.
+// QUIC's own timeouts and that of a context are different errors.
+func timedOut(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // errSilent ends a connection on which nothing arrives.
 var errSilent = errors.New("the link went silent")
 
