Serve requests of an entry that wakes with dead links

After a pause longer than the idle timeout of 30 s all links of an entry end at once. A request in progress then had its retry sent on another dead link, or was refused as notready because no link was left, though all are back after a redial. A link that was silent for its idle timeout gets no attempt, and a request without a link to any agent waits up to 1 s for one, once.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -24,6 +24,10 @@
 	// crashWait is the time that the news of a crash gets to reach other entries
 	// before the caller learns of it and sends the request again.
 	crashWait = 300 * time.Millisecond
+	// linkWait is how long a request waits for a link while there is none to any
+	// agent that may serve it. All links end at once when an entry wakes from a
+	// pause longer than their idle timeout, and are back after a redial.
+	linkWait = time.Second
 	// guestWait bounds the wait for a link to the agent of a ticket.
 	guestWait = 3 * time.Second
 )
@@ -42,6 +46,10 @@
 	stale int
 	// raised says that the floor was raised for the request.
 	raised bool
+	// unsent holds the excluded agents whose link broke before a byte was sent.
+	unsent []string
+	// waited says that the request has waited for a link.
+	waited bool
 }
 
 // run serves a request: it chooses agents until one answers or no other attempt
@@ -58,7 +66,7 @@
 		}
 		r := e.choose(s, c, p.excluded)
 		if r == nil {
-			if e.reopen(ctx, s, c, p) {
+			if e.reopen(ctx, s, c, p) || e.relinked(ctx, s, c, p) {
 				continue
 			}
 			return settle(noRoom(p.last), p.uncertain)
@@ -106,6 +114,9 @@
 		return false
 	default:
 		p.excluded[r.vm.Name] = true
+		if !c.confirmed {
+			p.unsent = append(p.unsent, r.vm.Name)
+		}
 	}
 	return true
 }
@@ -125,6 +136,41 @@
 	return true
 }
 
+// relinked waits for a link when no agent that may serve the request has one. It
+// reports whether another round makes sense.
+func (e *Entry) relinked(ctx context.Context, s *snapshot, c *call, p *progress) bool {
+	if p.waited {
+		return false
+	}
+	for _, name := range p.unsent {
+		delete(p.excluded, name)
+	}
+	var gone []*remote
+	for _, r := range s.targets[c.target] {
+		if p.excluded[r.vm.Name] || r.leaving.Load() {
+			continue
+		}
+		if r.session.Load() != nil && !r.usable() {
+			return false // It is reachable and takes nothing now.
+		}
+		gone = append(gone, r)
+	}
+	if len(gone) == 0 {
+		return false
+	}
+	p.waited = true
+	ctx, cancel := context.WithTimeout(ctx, min(linkWait, c.left(e.clock.Now())/2))
+	defer cancel()
+	for e.clock.Sleep(ctx, redialMin) == nil {
+		for _, r := range gone {
+			if r.usable() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // settle gives the outcome of all attempts together.
 func settle(r *damasktrail.Refusal, uncertain bool) *damasktrail.Refusal {
 	if uncertain {
@@ -319,6 +365,10 @@
 	if live == nil {
 		return notSent("the link to the agent is gone")
 	}
+	if e.clock.Now().Sub(time.Unix(0, live.heard.Load())) > link.IdleTimeout {
+		// After a pause of this process the link can look open for a moment.
+		return notSent("the link to the agent was silent for its idle timeout")
+	}
 	wait, cancel := context.WithTimeout(ctx, openTimeout)
 	stream, err := live.conn.Open(wait)
 	cancel()
--- a/link/link.go
+++ b/link/link.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// idleTimeout is three heartbeats of 10 s.
-	idleTimeout = 30 * time.Second
+	// IdleTimeout ends a connection on which nothing arrives. It is three
+	// heartbeats of 10 s.
+	IdleTimeout = 30 * time.Second
 	// handshakeTimeout bounds the time to reach a peer that does not answer.
 	handshakeTimeout = 3 * time.Second
 	// streamWindow is the flow control window of a new stream in bytes. The
@@ -38,7 +39,7 @@
 func config() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
-		MaxIdleTimeout:                 idleTimeout,
+		MaxIdleTimeout:                 IdleTimeout,
 		InitialStreamReceiveWindow:     streamWindow,
 		InitialConnectionReceiveWindow: 4 * streamWindow,
 		MaxIncomingStreams:             maxStreams,
