--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -24,11 +24,10 @@
 	// crashWait is the time that the news of a crash gets to reach other entries
 	// before the caller learns of it and sends the request again.
 	crashWait = 300 * time.Millisecond
-	// linkWait bounds the wait for a first link to any agent of the target, and
-	// linkPoll is the time between two looks. An agent that was just lost is
-	// dialled anew within a few tenths of a second when it is there at all.
-	linkWait = 2 * time.Second
-	linkPoll = 50 * time.Millisecond
+	// linkWait is how long a request waits for a link while there is none to any
+	// agent that may serve it. All links end at once when an entry wakes from a
+	// pause longer than their idle timeout, and are back after a redial.
+	linkWait = time.Second
 	// guestWait bounds the wait for a link to the agent of a ticket.
 	guestWait = 3 * time.Second
 )
@@ -49,8 +48,10 @@
 	stale int
 	// raised says that the floor was raised for the request.
 	raised bool
-	// waited is the time spent waiting for links.
-	waited time.Duration
+	// unsent holds the excluded agents whose link broke before a byte was sent.
+	unsent []string
+	// waited says that the request has waited for a link.
+	waited bool
 }
 
 // run serves a request: it chooses agents until one answers or no other attempt
@@ -70,7 +71,7 @@
 		}
 		r := e.choose(s, c, p.excluded)
 		if r == nil {
-			if e.awaitLink(ctx, s, c, p) || e.reopen(ctx, s, c, p) {
+			if e.reopen(ctx, s, c, p) || e.relinked(ctx, s, c, p) {
 				continue
 			}
 			return settle(noRoom(p.last), p.uncertain)
@@ -120,21 +121,11 @@
 	default:
 		p.full = p.full || p.last.Reason == damasktrail.ReasonFull
 		p.excluded[r.vm.Name] = true
-	}
-	return true
-}
-
-// awaitLink waits while links to agents that may still get the request are being
-// made, as after a pause of the whole process. It reports whether to choose
-// again.
-func (e *Entry) awaitLink(ctx context.Context, s *snapshot, c *call, p *progress) bool {
-	for _, r := range s.targets[c.target] {
-		if !p.excluded[r.vm.Name] && r.connecting() && p.waited < linkWait {
-			p.waited += linkPoll
-			return e.clock.Sleep(ctx, linkPoll) == nil
+		if !c.confirmed {
+			p.unsent = append(p.unsent, r.vm.Name)
 		}
 	}
-	return false
+	return true
 }
 
 // reopen raises the floor when all agents were full, and allows one more round
@@ -152,6 +143,43 @@
 	return true
 }
 
+// relinked waits for a link when no agent that may serve the request has one. It
+// reports whether another round makes sense.
+func (e *Entry) relinked(ctx context.Context, s *snapshot, c *call, p *progress) bool {
+	if p.waited {
+		return false
+	}
+	for _, name := range p.unsent {
+		delete(p.excluded, name)
+	}
+	var gone []*remote
+	for _, r := range s.targets[c.target] {
+		if p.excluded[r.vm.Name] || r.leaving.Load() || r.listed.Load() {
+			continue
+		}
+		if r.session.Load() != nil && !r.usable() {
+			return false // It is reachable and takes nothing now.
+		}
+		if r.session.Load() != nil || r.connecting() {
+			gone = append(gone, r)
+		}
+	}
+	if len(gone) == 0 {
+		return false
+	}
+	p.waited = true
+	ctx, cancel := context.WithTimeout(ctx, min(linkWait, c.left(e.clock.Now())/2))
+	defer cancel()
+	for e.clock.Sleep(ctx, redialMin) == nil {
+		for _, r := range gone {
+			if r.usable() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // settle gives the outcome of all attempts together.
 func settle(r *damasktrail.Refusal, uncertain bool) *damasktrail.Refusal {
 	if uncertain {
@@ -346,6 +374,10 @@
 	if live == nil {
 		return notSent("the link to the agent is gone")
 	}
+	if e.clock.Now().Sub(time.Unix(0, live.heard.Load())) > link.IdleTimeout {
+		// After a pause of this process the link can look open for a moment.
+		return notSent("the link to the agent was silent for its idle timeout")
+	}
 	wait, cancel := context.WithTimeout(ctx, openTimeout)
 	stream, err := live.conn.Open(wait)
 	cancel()
