Bound the rig's queues by work and make its runs repeatable

Cause: 400 waiting requests are few seconds of a service's work, and an ejection among equally bad agents followed the order of a map. Change: the rig's agents let 2,000 requests with 800,000 prefill tokens wait; health decides ties by name; endpoints reuse a buffer.

--- a/health/health.go
+++ b/health/health.go
@@ -37,6 +37,7 @@
 
 // agent is what is known of one agent.
 type agent struct {
+	name string
 	// failures is 1 for a failure and 0 for an answer.
 	failures mean
 	// token is the time between tokens in seconds.
@@ -67,7 +68,7 @@
 	g.agents = make(map[string]*agent, len(names))
 	for _, n := range names {
 		if g.agents[n] = old[n]; g.agents[n] == nil {
-			g.agents[n] = &agent{}
+			g.agents[n] = &agent{name: n}
 		}
 	}
 }
@@ -123,7 +124,7 @@
 		if len(out) == 0 {
 			return
 		}
-		best := slices.MinFunc(out, func(x, y *agent) int { return cmp.Compare(x.bad, y.bad) })
+		best := slices.MinFunc(out, func(x, y *agent) int { return cmp.Or(cmp.Compare(x.bad, y.bad), cmp.Compare(x.name, y.name)) })
 		if best.bad >= score {
 			return
 		}
--- a/rig/agent.go
+++ b/rig/agent.go
@@ -17,7 +17,7 @@
 const heartbeat = 10 * time.Second
 
 // bounds are those of an agent's queue.
-var bounds = queue.Limits{Requests: 400, Prefill: 800_000}
+var bounds = queue.Limits{Requests: 2000, Prefill: 800_000}
 
 // agent is a fake of the process beside an endpoint. With a queue it decides as
 // the product does; without one it passes everything to the endpoint.
--- a/rig/endpoint.go
+++ b/rig/endpoint.go
@@ -39,6 +39,8 @@
 	slow    float64
 	down    bool
 	running []*job
+	// ending is a buffer of finish.
+	ending  []*job
 	waiting []*job
 	kv      int
 	// stepping says that a step is under way; epoch counts crashes, so that a
@@ -142,7 +144,8 @@
 // finish ends a step. A job whose prompt is complete gets a token.
 func (e *endpoint) finish() {
 	e.stepping = false
-	for _, j := range slices.Clone(e.running) {
+	e.ending = append(e.ending[:0], e.running...)
+	for _, j := range e.ending {
 		if j.gone || j.prefilled < j.prompt {
 			continue
 		}
