Count the silence of an agent against it, and assert the aims

Cause: requests still go to agents of a lost domain until their links close, and nothing fails when an aim is missed. Change: the cost policy adds the time for which an agent is silent longer than its open requests explain. TestTable asserts the aims as stated; TestRepeatable guards the rig itself.

--- a/policy/cost.go
+++ b/policy/cost.go
@@ -20,6 +20,10 @@
 	// maxDone bounds the age, in seconds, for which an agent is taken to have
 	// worked on what it reported.
 	maxDone = 1
+	// answer is the time in seconds in which one of this entry's open requests
+	// should end. An agent that is silent for longer is taken to be late by the
+	// rest, as it may be lost or slow.
+	answer = 10
 	// maxDoubt bounds the age that counts, in seconds.
 	maxDoubt = 10
 )
@@ -85,6 +89,10 @@
 	// short time only: an agent that is lost reports nothing and is not idle.
 	ahead := float64(c.Load.Prefill+c.Sent.Prefill)/prefill + float64(c.Load.Decode+c.Sent.Decode)/decode
 	ahead = max(0, ahead-min(c.Age.Seconds(), maxDone))
+	// An agent with many requests of this entry ends one of them often.
+	if c.Inflight > 0 {
+		ahead += max(0, c.Age.Seconds()-maxDone-answer/float64(c.Inflight))
+	}
 	own := float64(r.Cost.Prefill) * (1 - min(max(c.Cached, 0), 1)) / prefill
 	// Tokens of one answer come at the speed of all divided by their number.
 	inside := c.Load.Running + 1
--- a/rig/case.go
+++ b/rig/case.go
@@ -44,3 +44,17 @@
 		w.loop.after(time.Minute, w.poison)
 	}},
 }
+
+// Alone runs the product's own arm in the case of overload with the highest
+// tier only, in the deployment of a name.
+func Alone(deployment string, seed uint64) Report {
+	for _, d := range Deployments {
+		for _, s := range Cases {
+			if d.Name == deployment && s.Name == Overload {
+				s.Only = true
+				return Run(d, s, Arms[len(Arms)-1], seed)
+			}
+		}
+	}
+	return Report{}
+}
--- a/rig/rig_test.go
+++ b/rig/rig_test.go
@@ -1,6 +1,7 @@
 package rig_test
 
 import (
+	"fmt"
 	"os"
 	"testing"
 
@@ -12,11 +13,50 @@
 
 const seed = 1
 
-// Guards against a change of the decision code that misses an aim. It prints
-// the figures of every arm, case and deployment.
+// Guards against a change of the decision code that misses an aim of the
+// project. It prints the figures of every arm, case and deployment.
 func TestTable(t *testing.T) {
 	all := rig.Table(seed)
 	require.NoError(t, rig.Print(os.Stdout, all))
+	for ; len(all) > 0; all = all[len(rig.Arms):] {
+		own, baselines := all[len(rig.Arms)-1], all[:len(rig.Arms)-1]
+		best, waste := 0, 0.0
+		for _, b := range baselines {
+			best, waste = max(best, b.Good()), max(waste, b.Wasted)
+		}
+		name := own.Deployment + " " + own.Case
+		t.Run(name+" goodput", func(t *testing.T) {
+			assert.GreaterOrEqual(t, own.Good(), best, "useful answers, best baseline")
+		})
+		t.Run(name+" order", func(t *testing.T) {
+			assert.Zero(t, own.Violations, "requests shed before a lower tier")
+		})
+		if waste >= 0.1 {
+			t.Run(name+" waste", func(t *testing.T) {
+				assert.LessOrEqual(t, own.Wasted, 0.01, "share of prefill")
+			})
+		}
+		if own.Case != rig.Overload {
+			continue
+		}
+		t.Run(name+" gain", func(t *testing.T) {
+			assert.GreaterOrEqual(t, float64(own.Good()), 1.5*float64(best), "useful answers, 1.5 times the best baseline")
+		})
+		t.Run(name+" top tier", func(t *testing.T) {
+			alone := rig.Alone(own.Deployment, seed)
+			fmt.Printf("%s: top tier %d, alone %d\n", name, own.Tiers[0].Good, alone.Tiers[0].Good)
+			assert.GreaterOrEqual(t, float64(own.Tiers[0].Good), 0.999*float64(alone.Tiers[0].Good), "useful answers of the top tier")
+		})
+	}
 }
 
-var _ = assert.Equal
+// Guards against figures that differ between two runs of the same code.
+func TestRepeatable(t *testing.T) {
+	d := rig.Deployments[0]
+	for _, s := range rig.Cases[len(rig.Cases)-1:] {
+		for _, arm := range rig.Arms[len(rig.Arms)-1:] {
+			a, b := rig.Run(d, s, arm, seed), rig.Run(d, s, arm, seed)
+			require.Equal(t, a, b)
+		}
+	}
+}
