Keep long answers off replicas that are too slow for their deadline

Change: the cost policy adds four times the time by which an answer of three times the expected length would miss the deadline.

--- a/policy/cost.go
+++ b/policy/cost.go
@@ -24,6 +24,10 @@
 	// should end. An agent that is silent for longer is taken to be late by the
 	// rest, as it may be lost or slow.
 	answer = 10
+	// longer is how many times its expected length an answer may reach, and late
+	// the weight of the time by which it would then miss the deadline.
+	longer = 3
+	late   = 4
 	// maxDoubt bounds the age that counts, in seconds.
 	maxDoubt = 10
 )
@@ -99,5 +103,10 @@
 	if c.Load.Limit > 0 {
 		inside = min(inside, c.Load.Limit)
 	}
-	return ahead + own + float64(r.Cost.Decode)*float64(inside)/decode
+	answering := float64(r.Cost.Decode) * float64(inside) / decode
+	res := ahead + own + answering
+	if r.Deadline > 0 {
+		res += late * max(0, own+longer*answering-r.Deadline.Seconds())
+	}
+	return res
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -50,6 +50,9 @@
 	cached := candidate(1, 0, 0)
 	cached.Cached = 1
 	long := damasktrail.Request{Cost: damasktrail.Cost{Prefill: 20000, Decode: 1}}
+	tight := damasktrail.Request{Cost: damasktrail.Cost{Prefill: 100, Decode: 1000}, Deadline: 5 * time.Second}
+	slowIdle := candidate(0.4, 0, 0)
+	fastBusy := candidate(1, 20000, 0)
 	crowd := candidate(1, 0, 0)
 	crowd.Load.Running, crowd.Inflight = 9, 3
 	for _, tt := range []struct {
@@ -68,6 +71,7 @@
 		{policy.CostFor, request, []damasktrail.Candidate{lost, part}, []int{0, 3000}},
 		{policy.CostFor, request, []damasktrail.Candidate{candidate(1, 0, 0), candidate(0.5, 0, 0)}, []int{3000, 0}},
 		{policy.CostFor, long, []damasktrail.Candidate{idle, cached}, []int{0, 3000}},
+		{policy.CostFor, tight, []damasktrail.Candidate{slowIdle, fastBusy}, []int{0, 3000}},
 		{policy.CostFor, request, []damasktrail.Candidate{{}, busy}, []int{3000, 0}},
 	} {
 		t.Run(tt.policy, func(t *testing.T) {
