--- a/policy/cost.go
+++ b/policy/cost.go
@@ -20,6 +20,14 @@
 	// maxDone bounds the age, in seconds, for which an agent is taken to have
 	// worked on what it reported.
 	maxDone = 1
+	// answer is the time in seconds in which one of this entry's open requests
+	// should end. An agent that is silent for longer is taken to be late by the
+	// rest, as it may be lost or slow.
+	answer = 10
+	// longer is how many times its expected length an answer may reach, and late
+	// the weight of the time by which it would then miss the deadline.
+	longer = 3
+	late   = 4
 	// maxDoubt bounds the age that counts, in seconds.
 	maxDoubt = 10
 )
@@ -85,11 +93,20 @@
 	// short time only: an agent that is lost reports nothing and is not idle.
 	ahead := float64(c.Load.Prefill+c.Sent.Prefill)/prefill + float64(c.Load.Decode+c.Sent.Decode)/decode
 	ahead = max(0, ahead-min(c.Age.Seconds(), maxDone))
+	// An agent with many requests of this entry ends one of them often.
+	if c.Inflight > 0 {
+		ahead += max(0, c.Age.Seconds()-maxDone-answer/float64(c.Inflight))
+	}
 	own := float64(r.Cost.Prefill) * (1 - min(max(c.Cached, 0), 1)) / prefill
 	// Tokens of one answer come at the speed of all divided by their number.
 	inside := c.Load.Running + 1
 	if c.Load.Limit > 0 {
 		inside = min(inside, c.Load.Limit)
 	}
-	return ahead + own + float64(r.Cost.Decode)*float64(inside)/decode
+	answering := float64(r.Cost.Decode) * float64(inside) / decode
+	res := ahead + own + answering
+	if r.Deadline > 0 {
+		res += late * max(0, own+longer*answering-r.Deadline.Seconds())
+	}
+	return res
 }
--- a/rig/case.go
+++ b/rig/case.go
@@ -44,3 +44,26 @@
 		w.loop.after(time.Minute, w.poison)
 	}},
 }
+
+// Together runs the product's own arm in the case of overload.
+func Together(d Deployment, seed uint64) Report {
+	return overload(d, seed, false)
+}
+
+// Alone runs the product's own arm in the case of overload with the requests of
+// the highest tier only.
+func Alone(d Deployment, seed uint64) Report {
+	return overload(d, seed, true)
+}
+
+// overload runs the product's own arm in the case of overload.
+func overload(d Deployment, seed uint64, only bool) Report {
+	var res Report
+	for _, s := range Cases {
+		if s.Name == Overload {
+			s.Only = only
+			res = Run(d, s, Arms[len(Arms)-1], seed)
+		}
+	}
+	return res
+}
