Lead from one VM list to another by differences

The digest of a list is the root of a tree of two levels over the digests of the VMs, so a change of one VM hashes about 10 KB.

--- a/entry/peer.go
+++ b/entry/peer.go
@@ -56,9 +56,9 @@
 		switch {
 		case vm.Role != member.RoleEntry || vm.State != member.StateLive || vm.Name == self.Name:
 		case regionOf(d, vm.Domain) == region:
-			near = append(near, vm)
+			near = append(near, *vm)
 		default:
-			far = append(far, vm)
+			far = append(far, *vm)
 		}
 	}
 	byRank := func(a, b member.VM) int {
--- a/member/holder.go
+++ b/member/holder.go
@@ -1,33 +1,17 @@
 package member
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
 )
 
-// OlderError says that an offered list is older than the one in force.
-type OlderError struct {
-	// Offered and Held are versions; Offered is lower.
-	Offered, Held uint64
-}
-
-// Error implements error.
-func (e *OlderError) Error() string {
-	return fmt.Sprintf("VM list version %d is older than version %d in force", e.Offered, e.Held)
-}
-
-// ConflictError says that an offered list has the version of the one in force
-// and other content.
-type ConflictError struct {
-	// Version is that of both lists.
-	Version uint64
-}
-
-// Error implements error.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("VM list version %d was offered with other content than that in force", e.Version)
-}
+// The history serves peers that missed a few changes. At 3,870 changes a day 64
+// differences reach about 24 minutes back; the bound on operations keeps a run
+// of large changes from filling the 64 MB of a node.
+const (
+	maxDifferences = 64
+	maxOperations  = 8192
+)
 
 // Holder has the list in force. Its version never falls. Reads take no lock;
 // all methods are safe for use by several goroutines.
@@ -39,7 +23,9 @@
 
 // state is immutable, but for the closing of changed.
 type state struct {
-	list    *List
+	list *List
+	// history leads to list without gaps; To of each is From of the next.
+	history []Difference
 	changed chan struct{}
 }
 
@@ -55,6 +41,14 @@
 	return h.state.Load().list
 }
 
+// Version returns that of the list in force, 0 before the first.
+func (h *Holder) Version() uint64 {
+	if l := h.Load(); l != nil {
+		return l.Version
+	}
+	return 0
+}
+
 // Changed returns a channel that is closed at the next change. A caller that
 // takes it before Load misses no change.
 func (h *Holder) Changed() <-chan struct{} {
@@ -68,6 +62,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	old := h.state.Load()
+	next := &state{list: l, changed: make(chan struct{})}
 	if held := old.list; held != nil {
 		switch {
 		case l.Version < held.Version:
@@ -77,8 +72,42 @@
 		case l.Version == held.Version:
 			return false, nil
 		}
+		next.history = extend(old.history, Compare(held, l))
 	}
-	h.state.Store(&state{list: l, changed: make(chan struct{})})
+	h.state.Store(next)
 	close(old.changed)
 	return true, nil
 }
+
+// extend returns a copy of the history with x, without the oldest differences
+// that exceed the bounds.
+func extend(history []Difference, x Difference) []Difference {
+	res := append(append(make([]Difference, 0, len(history)+1), history...), x)
+	operations := 0
+	for i := len(res) - 1; i >= 0; i-- {
+		operations += len(res[i].Operations)
+		if len(res)-i > maxDifferences || operations > maxOperations {
+			return append([]Difference(nil), res[i+1:]...)
+		}
+	}
+	return res
+}
+
+// Since returns the differences that lead from a version to the list in force,
+// oldest first; none when it is the one in force. It reports false when the
+// history does not reach the version.
+func (h *Holder) Since(version uint64) ([]Difference, bool) {
+	s := h.state.Load()
+	if s.list == nil {
+		return nil, false
+	}
+	if s.list.Version == version {
+		return nil, true
+	}
+	for i, x := range s.history {
+		if x.From == version {
+			return s.history[i:len(s.history):len(s.history)], true
+		}
+	}
+	return nil, false
+}
--- a/member/list.go
+++ b/member/list.go
@@ -49,32 +49,18 @@
 // modified; so it is safe for use by several goroutines.
 type List struct {
 	// Version is at least 1.
-	Version uint64 `json:"version"`
-	// VMs is sorted by name.
-	VMs []VM `json:"vms"`
+	Version uint64
+	// VMs is sorted by name. Lists share the VMs that are equal: a copy of
+	// 12,540 pointers takes a tenth of the time of a copy of the VMs.
+	VMs []*VM
 
-	// positions maps a name to its place in VMs.
-	positions map[string]int
 	// entries are the live entries, so that ranking them does not walk over the
-	// agents, of which there are many more.
+	// agents, of which there are many more. Lists that differ in agents only
+	// share it.
 	entries []*VM
-	digest  [sha256.Size]byte
-}
-
-// Problem is one fault of a list, with its path.
-type Problem = strict.Problem
-
-// InvalidError says that a list is refused whole.
-type InvalidError struct {
-	// Problems has 1 to 100 entries in the order in which they were found.
-	Problems []Problem
-	// Omitted counts the problems beyond these.
-	Omitted int
-}
-
-// Error implements error with the first problem and the number of the others.
-func (e *InvalidError) Error() string {
-	return "VM list is invalid: " + (&strict.Problems{List: e.Problems, Omitted: e.Omitted}).String()
+	// tree is of the digests of all VMs.
+	tree   *tree
+	digest [sha256.Size]byte
 }
 
 // Parse reads a list of at most MaxSize and validates it whole. The error is an
@@ -82,7 +68,10 @@
 // document is published apart from the list and may be older or newer.
 func Parse(data []byte) (*List, error) {
 	p := &strict.Problems{}
-	var raw List
+	var raw struct {
+		Version uint64 `json:"version"`
+		VMs     []VM   `json:"vms"`
+	}
 	if !strict.Read(data, MaxSize, &raw, p) {
 		return nil, &InvalidError{Problems: p.List, Omitted: p.Omitted}
 	}
@@ -100,31 +89,56 @@
 	if version == 0 {
 		p.Add(top.At("version"), "must be at least 1")
 	}
-	res := &List{Version: version, VMs: vms, positions: make(map[string]int, len(vms))}
+	positions := make(map[string]int, len(vms))
 	root := top.At("vms")
-	for i := range res.VMs {
-		v := &res.VMs[i]
-		v.Role = cmp.Or(v.Role, RoleAgent)
-		v.State = cmp.Or(v.State, StateLive)
+	for i := range vms {
+		v := &vms[i]
+		v.complete()
 		l := root.Element(i)
-		if j, found := res.positions[v.Name]; found {
+		if j, found := positions[v.Name]; found {
 			p.Add(l.At("name"), "VM %q already exists as %s", v.Name, root.Element(j))
 		}
-		res.positions[v.Name] = i
+		positions[v.Name] = i
 		v.check(l, p)
 	}
 	if len(p.List) > 0 {
 		return nil, &InvalidError{Problems: p.List, Omitted: p.Omitted}
 	}
-	slices.SortFunc(res.VMs, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
-	for i, v := range res.VMs {
-		res.positions[v.Name] = i
+	slices.SortFunc(vms, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+	res := &List{Version: version, VMs: make([]*VM, len(vms)), tree: newTree(vms)}
+	for i := range vms {
+		res.VMs[i] = &vms[i]
+	}
+	res.entries = liveEntries(res.VMs)
+	res.digest = res.tree.root(version)
+	return res, nil
+}
+
+func liveEntries(vms []*VM) []*VM {
+	var res []*VM
+	for _, v := range vms {
 		if v.Role == RoleEntry && v.State == StateLive {
-			res.entries = append(res.entries, &res.VMs[i])
+			res = append(res, v)
 		}
 	}
-	res.digest = sha256.Sum256(res.Encode())
-	return res, nil
+	return res
+}
+
+// complete fills in the defaults.
+func (v *VM) complete() {
+	v.Role = cmp.Or(v.Role, RoleAgent)
+	v.State = cmp.Or(v.State, StateLive)
+}
+
+// short returns the VM without the values that complete fills in.
+func (v VM) short() VM {
+	if v.Role == RoleAgent {
+		v.Role = ""
+	}
+	if v.State == StateLive {
+		v.State = ""
+	}
+	return v
 }
 
 func (v VM) check(l *strict.Location, p *strict.Problems) {
@@ -151,17 +165,9 @@
 // Encode returns the list as JSON that [Parse] accepts. The default role and
 // state are left out: 12,540 VMs would not fit into MaxSize with them.
 func (l *List) Encode() []byte {
-	vms := slices.Clone(l.VMs)
-	for i := range vms {
-		if vms[i].Role == RoleAgent {
-			vms[i].Role = ""
-		}
-		if vms[i].State == StateLive {
-			vms[i].State = ""
-		}
-	}
-	if vms == nil {
-		vms = []VM{}
+	vms := make([]VM, len(l.VMs))
+	for i, v := range l.VMs {
+		vms[i] = v.short()
 	}
 	res, err := json.Marshal(struct {
 		Version uint64 `json:"version"`
@@ -174,15 +180,24 @@
 }
 
 // Digest identifies the content, whatever the order and spacing of its text.
+// It is a SHA-256 over the digests of all VMs.
 func (l *List) Digest() [sha256.Size]byte {
 	return l.digest
 }
 
 // VM returns the VM of that name.
 func (l *List) VM(name string) (VM, bool) {
-	i, found := l.positions[name]
+	i, found := l.find(name)
 	if !found {
 		return VM{}, false
 	}
-	return l.VMs[i], true
+	return *l.VMs[i], true
+}
+
+// find returns the place of the VM, or the place that a VM of that name would
+// have. A search takes the place of a map, which took most of the time of Apply.
+func (l *List) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(l.VMs, name, func(v *VM, name string) int {
+		return cmp.Compare(v.Name, name)
+	})
 }
--- a/member/rank.go
+++ b/member/rank.go
@@ -177,8 +177,7 @@
 		}
 		bySet[s.Name] = t
 	}
-	for i := range list.VMs {
-		v := &list.VMs[i]
+	for _, v := range list.VMs {
 		if v.Role != RoleAgent || v.State != StateLive {
 			continue
 		}
--- a/member/rank_test.go
+++ b/member/rank_test.go
@@ -78,7 +78,7 @@
 	res := map[string][]member.VM{}
 	for _, v := range l.VMs {
 		if v.Role == member.RoleEntry {
-			res[v.Name] = member.Subset(v, l, f.document, perTarget)
+			res[v.Name] = member.Subset(*v, l, f.document, perTarget)
 		}
 	}
 	return res
@@ -242,7 +242,7 @@
 		if v.Role != member.RoleAgent {
 			continue
 		}
-		for i, e := range member.Entries(l, f.document, v, 3) {
+		for i, e := range member.Entries(l, f.document, *v, 3) {
 			if !linked[[2]string{e.Name, v.Name}] {
 				missing[i]++
 			}
