Send VM lists between entries as differences

Every change of the VM list went to peers as a whole list of 977,527 bytes, which each receiver parsed again.

frame.Change gets a topic and carries all differences that a peer lacks. Package rollout treats both values alike: a difference is applied to the value in force, a gap is pulled, and the whole value follows only when the history does not reach back or a difference does not fit. One frame for each difference could fill the queue of 64 messages of a control stream, which closes the connection; the history has up to 64 differences of each value.

Rollout.Compare takes a topic, so that a peer without a list says 0 and not 1; at version 1 such a peer was sent nothing. A message about a topic that the process does not hold is an error, also at agents.

--- a/agent/entry.go
+++ b/agent/entry.go
@@ -134,7 +134,7 @@
 
 // reply compares generations with a peer.
 func (a *Agent) reply(e *entryLink, generation uint64) {
-	for _, m := range a.rollout.Compare(generation, 0) {
+	for _, m := range a.rollout.Compare(frame.TopicDocument, generation) {
 		e.send(m.Kind, m.Body)
 	}
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -159,9 +159,8 @@
 	defer s.conn.Close("done")
 	tasks.Go(s.write)
 	e.compared.Store(true)
-	for _, m := range e.rollout.Compare(hello.Generation, max(hello.Members, 1)) {
-		s.send(m.Kind, m.Body)
-	}
+	e.compare(s, frame.TopicDocument, hello.Generation)
+	e.compare(s, frame.TopicVMs, hello.Members)
 	cancel := e.clock.Subscribe(peerBeat, func(now time.Time) {
 		if now.Sub(time.Unix(0, s.heard.Load())) > 2*silenceLimit {
 			e.metrics.Count("links_silent", 1)
@@ -190,8 +189,8 @@
 			return err
 		}
 		e.contacted(now.Add(-time.Duration(b.Age) * time.Millisecond))
-		b.Members = max(b.Members, 1) // A peer without a list gets one.
 		e.hear(s, b, now)
+		e.compare(s, frame.TopicVMs, b.Members)
 	}
 }
 
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -236,9 +236,7 @@
 		}
 	})
 	defer cancel()
-	for _, m := range e.rollout.Compare(hello.Generation, 0) {
-		s.send(m.Kind, m.Body)
-	}
+	e.compare(s, frame.TopicDocument, hello.Generation)
 	r.leaving.Store(false)
 	r.session.Store(s)
 	defer r.session.Store(nil)
@@ -313,14 +311,19 @@
 
 // hear takes what every beat carries.
 func (e *Entry) hear(s *session, b frame.Beat, now time.Time) {
-	for _, m := range e.rollout.Compare(b.Generation, b.Members) {
-		s.send(m.Kind, m.Body)
-	}
+	e.compare(s, frame.TopicDocument, b.Generation)
 	if len(b.Suspects) > 0 || len(b.Floors) > 0 {
 		e.post(func(c *control) { c.hear(b.Suspects, b.Floors, now) })
 	}
 }
 
+// compare answers a peer that holds a version of a value.
+func (e *Entry) compare(s *session, t frame.Topic, version uint64) {
+	for _, m := range e.rollout.Compare(t, version) {
+		s.send(m.Kind, m.Body)
+	}
+}
+
 // receiveRollout passes a message to the rollout and sends its answers.
 func (e *Entry) receiveRollout(s *session, raw frame.Raw) {
 	answers, err := e.rollout.Receive(raw)
--- a/frame/message.go
+++ b/frame/message.go
@@ -134,13 +134,15 @@
 	From  uint64 `cbor:"from"`
 }
 
-// Change carries a difference between two documents.
+// Change carries the differences that lead from one version of a value to
+// another.
 type Change struct {
-	From uint64 `cbor:"from"`
-	To   uint64 `cbor:"to"`
-	// Difference is encoded by package document and holds the digest of the
-	// resulting document.
-	Difference []byte `cbor:"difference"`
+	Topic Topic  `cbor:"topic"`
+	From  uint64 `cbor:"from"`
+	To    uint64 `cbor:"to"`
+	// Differences, in the order in which to apply them, are encoded by package
+	// document or member. Each holds its versions and the digest of its result.
+	Differences [][]byte `cbor:"differences"`
 }
 
 // Whole carries a whole value.
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -21,92 +21,90 @@
 	Body any
 }
 
+// TopicError says that a message is about a value that this process does not
+// hold.
+type TopicError struct {
+	// Topic is that of the message.
+	Topic frame.Topic
+}
+
+// Error implements error.
+func (e *TopicError) Error() string {
+	return fmt.Sprintf("topic %q is not held here", string(e.Topic))
+}
+
 // Rollout answers peers about the values that this process holds. It is safe
 // for use by several goroutines.
 type Rollout struct {
-	documents *document.Holder
-	// members is nil at an agent, which needs no VM list.
-	members *member.Holder
+	values map[frame.Topic]value
 	// count counts events by the name of a metric.
 	count func(name string, n int64)
 }
 
-// New returns a rollout over the given holders. An agent passes no members.
+// New returns a rollout over the given holders. An agent passes no members,
+// since it needs no VM list.
 func New(documents *document.Holder, members *member.Holder, count func(name string, n int64)) *Rollout {
-	return &Rollout{documents: documents, members: members, count: count}
+	values := map[frame.Topic]value{frame.TopicDocument: documentValue(documents)}
+	if members != nil {
+		values[frame.TopicVMs] = memberValue(members)
+	}
+	return &Rollout{values: values, count: count}
 }
 
 // Generation returns that of the document in force, 0 before the first.
 func (r *Rollout) Generation() uint64 {
-	return r.documents.Generation()
+	return r.version(frame.TopicDocument)
 }
 
 // Members returns the version of the VM list, 0 before the first and at agents.
 func (r *Rollout) Members() uint64 {
-	if r.members == nil {
-		return 0
-	}
-	if l := r.members.Load(); l != nil {
-		return l.Version
+	return r.version(frame.TopicVMs)
+}
+
+func (r *Rollout) version(t frame.Topic) uint64 {
+	if v, found := r.values[t]; found {
+		return v.version()
 	}
 	return 0
 }
 
-// Compare returns what to send to a peer that holds the given versions: pulls
-// where the peer is ahead, values where it is behind. A peer with members 0 is
-// an agent and is not sent the VM list.
-func (r *Rollout) Compare(generation, members uint64) []Message {
-	var res []Message
-	switch own := r.Generation(); {
-	case generation > own:
-		res = append(res, pull(frame.TopicDocument, own))
-	case generation < own:
-		res = append(res, r.Since(frame.TopicDocument, generation)...)
-	}
-	if r.members == nil || members == 0 {
-		return res
+// Compare returns what to send to a peer that holds a version of a value, 0 for
+// none: a pull when the peer is ahead, the way from there when it is behind.
+func (r *Rollout) Compare(t frame.Topic, version uint64) []Message {
+	v, found := r.values[t]
+	if !found {
+		return nil
 	}
-	switch own := r.Members(); {
-	case members > own:
-		res = append(res, pull(frame.TopicVMs, own))
-	case members < own:
-		res = append(res, r.Since(frame.TopicVMs, members)...)
+	if own := v.version(); version > own {
+		return []Message{pull(t, own)}
 	}
-	return res
+	return r.Since(t, version)
 }
 
 func pull(t frame.Topic, from uint64) Message {
 	return Message{Kind: frame.KindPull, Body: frame.Pull{Topic: t, From: from}}
 }
 
-// Since returns what leads from a version to the value held: differences, or
-// the whole value when the history does not reach back.
+// Since returns what leads from a version to the value held, in one message:
+// all differences, or the whole value when the history does not reach back. One
+// message for each difference could fill the queue of a control stream, which
+// closes the connection.
 func (r *Rollout) Since(t frame.Topic, from uint64) []Message {
-	if t == frame.TopicVMs {
-		if r.members == nil || r.Members() <= from {
-			return nil
-		}
-		return []Message{whole(t, r.members.Load().Encode())}
+	v, found := r.values[t]
+	if !found {
+		return nil
 	}
-	held := r.documents.Load()
-	if held == nil || held.Generation <= from {
+	if v.version() <= from {
 		return nil
 	}
-	differences, found := r.documents.Since(from)
-	if !found {
+	c := v.since(from)
+	if c == nil {
 		r.count("rollout_wholes", 1)
-		return []Message{whole(t, held.Encode())}
-	}
-	res := make([]Message, 0, len(differences))
-	for _, x := range differences {
-		data, err := document.EncodeDifference(x)
-		if err != nil {
-			return []Message{whole(t, held.Encode())}
-		}
-		res = append(res, Message{Kind: frame.KindChange, Body: frame.Change{From: x.From, To: x.To, Difference: data}})
+		return []Message{whole(t, v.encode())}
 	}
-	r.count("rollout_changes", int64(len(res)))
-	return res
+	c.Topic = t
+	r.count("rollout_changes", int64(len(c.Differences)))
+	return []Message{{Kind: frame.KindChange, Body: *c}}
 }
 
 func whole(t frame.Topic, data []byte) Message {
@@ -128,6 +126,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if _, found := r.values[m.Topic]; !found {
+			return nil, &TopicError{Topic: m.Topic}
+		}
 		return r.Since(m.Topic, m.From), nil
 	case frame.KindChange:
 		m, err := frame.Decode[frame.Change](raw, frame.KindChange)
@@ -147,50 +148,46 @@
 }
 
 func (r *Rollout) change(m frame.Change) ([]Message, error) {
-	held := r.documents.Load()
-	own := r.documents.Generation()
-	if m.To <= own {
-		return nil, nil // Another peer was faster.
+	v, found := r.values[m.Topic]
+	if !found {
+		return nil, &TopicError{Topic: m.Topic}
 	}
-	if held == nil || m.From != own {
+	own := v.version()
+	switch {
+	case m.To <= own:
+		return nil, nil // Another peer was faster.
+	case m.From > own:
 		r.count("rollout_gaps", 1)
-		return []Message{pull(frame.TopicDocument, own)}, nil
+		return []Message{pull(m.Topic, own)}, nil
 	}
-	x, err := document.DecodeDifference(m.Difference)
-	if err != nil {
-		return nil, err
-	}
-	next, err := held.Apply(x)
-	if err != nil {
-		// From 0 no history reaches, so the peer answers with the whole document.
-		r.count("rollout_gaps", 1)
-		return []Message{pull(frame.TopicDocument, 0)}, nil //nolint:nilerr // The whole document repairs it.
+	for _, x := range m.Differences {
+		res, err := v.apply(x)
+		if err = r.ignoreOlder(err); err != nil {
+			return nil, err
+		}
+		switch res {
+		case adopted:
+			r.count("rollout_adopted", 1)
+		case known:
+		case gap:
+			r.count("rollout_gaps", 1)
+			return []Message{pull(m.Topic, v.version())}, nil
+		case unfit:
+			// From 0 no history reaches, so the peer answers with the whole value.
+			r.count("rollout_gaps", 1)
+			return []Message{pull(m.Topic, 0)}, nil
+		}
 	}
-	return nil, r.offerDocument(next)
+	return nil, nil
 }
 
 // Offer takes a whole value, from a peer or from the platform.
 func (r *Rollout) Offer(t frame.Topic, data []byte) error {
-	if t == frame.TopicVMs {
-		if r.members == nil {
-			return nil
-		}
-		l, err := member.Parse(data)
-		if err != nil {
-			return err
-		}
-		_, err = r.members.Offer(l)
-		return r.ignoreOlder(err)
-	}
-	d, err := document.Parse(data)
-	if err != nil {
-		return err
+	v, found := r.values[t]
+	if !found {
+		return &TopicError{Topic: t}
 	}
-	return r.offerDocument(d)
-}
-
-func (r *Rollout) offerDocument(d *document.Document) error {
-	changed, err := r.documents.Offer(d)
+	changed, err := v.offer(data)
 	if changed {
 		r.count("rollout_adopted", 1)
 	}
@@ -207,7 +204,8 @@
 		return nil
 	}
 	var conflict *document.ConflictError
-	if errors.As(err, &conflict) {
+	var conflictList *member.ConflictError
+	if errors.As(err, &conflict) || errors.As(err, &conflictList) {
 		r.count("rollout_conflicts", 1)
 	}
 	return err
