--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -152,13 +152,8 @@
 	if !found {
 		return nil, &TopicError{Topic: m.Topic}
 	}
-	own := v.version()
-	switch {
-	case m.To <= own:
+	if m.To <= v.version() {
 		return nil, nil // Another peer was faster.
-	case m.From > own:
-		r.count("rollout_gaps", 1)
-		return []Message{pull(m.Topic, own)}, nil
 	}
 	for _, x := range m.Differences {
 		res, err := v.apply(x)
