Find an entry's place among an agent's entries without sorting them

At every change of the VM list an entry ranked all entries of its region for each of its 271 agents, although it only asks for its own place among the first three.

member.Places prepares the entries of the region once and counts those ahead of the entry; a test compares it with the order of member.Entries.

--- a/entry/control.go
+++ b/entry/control.go
@@ -170,9 +170,10 @@
 			c.startAgent(d, vm)
 		}
 	}
+	place := member.Places(self, l, d, pushRanks)
 	for _, r := range c.agents {
 		r.target = targetOf(d, r.vm)
-		r.rank = rankOf(member.Entries(l, d, r.vm, pushRanks), c.e.settings.Name)
+		r.rank = place(r.vm)
 	}
 	c.relinkPeers(l, d, self)
 }
--- a/member/rank.go
+++ b/member/rank.go
@@ -118,6 +118,26 @@
 	return first(candidates, n)
 }
 
+// Places returns a function that tells the place of an entry among the first n
+// of [Entries] of an agent, or the number of these when it is not among them.
+// For many agents it takes a fraction of the time of Entries for each.
+func Places(entry VM, list *List, d *document.Document, n int) func(agent VM) int {
+	where := regionsOf(d)
+	home := where[entry.Domain]
+	peers := where.entries(list, home)
+	live := slices.ContainsFunc(peers, func(p *VM) bool { return p.Name == entry.Name })
+	return func(agent VM) int {
+		if where[agent.Domain] != home {
+			return min(n, len(where.entries(list, where[agent.Domain])))
+		}
+		most := min(n, len(peers))
+		if !live {
+			return most
+		}
+		return ahead(&entry, &agent, peers, most)
+	}
+}
+
 // target is the live agents of one model or service set.
 type target struct {
 	// near are in the entry's region, far in all others.
@@ -155,7 +175,7 @@
 			has.Add(v.Name)
 		}
 		for _, v := range t.near {
-			if !has.Has(v.Name) && sponsors(&entry, v, peers) {
+			if !has.Has(v.Name) && ahead(&entry, v, peers, Sponsors) < Sponsors {
 				res = append(res, *v)
 			}
 		}
@@ -192,19 +212,20 @@
 	return res
 }
 
-// sponsors reports whether fewer than Sponsors of the peers come before the
-// entry in the order of the agent's entries.
-func sponsors(entry, agent *VM, peers []*VM) bool {
+// ahead returns how many of the peers come before the entry in the order of the
+// agent's entries, at most the given number.
+func ahead(entry, agent *VM, peers []*VM, most int) int {
 	own := ranked{entry, Rank(entry.Name, agent.Name)}
-	ahead := 0
+	res := 0
 	for _, p := range peers {
+		if res == most {
+			break
+		}
 		if (ranked{p, Rank(p.Name, agent.Name)}).before(own) {
-			if ahead++; ahead == Sponsors {
-				return false
-			}
+			res++
 		}
 	}
-	return true
+	return res
 }
 
 // choose takes one agent per failure domain in turn until it has size. The
--- a/member/rank_test.go
+++ b/member/rank_test.go
@@ -296,6 +296,30 @@
 	require.Equal(t, uint64(0xc870afe9d54e970f), member.Rank("e", "a"), "processes of different versions must agree")
 }
 
+// Guards against an entry that takes another place among the entries of an
+// agent than the agent's order gives it; it would push documents twice or never.
+func TestPlaces(t *testing.T) {
+	f := newFleet(t, 3, 1, 20, 60)
+	f.vms[3].State = member.StateLeaving
+	lists := []*member.List{f.list(t, nil)}
+	for _, keep := range []string{"r0-d0", "r1-d0", "none"} {
+		lists = append(lists, f.list(t, func(v member.VM) bool { return v.Role == member.RoleEntry && v.Domain != keep }))
+	}
+	for _, l := range lists {
+		for _, entry := range f.vms[:20] {
+			place := member.Places(entry, l, f.document, 3)
+			for _, agent := range f.vms[20:] {
+				order := member.Entries(l, f.document, agent, 3)
+				want := slices.IndexFunc(order, func(v member.VM) bool { return v.Name == entry.Name })
+				if want < 0 {
+					want = len(order)
+				}
+				require.Equal(t, want, place(agent), "%s of %s", entry.Name, agent.Name)
+			}
+		}
+	}
+}
+
 func BenchmarkSubset(b *testing.B) {
 	f := newFleet(b, 7, 24, 540, 12000)
 	l := f.list(b, nil)
