Keep an entry's links when a change of the VM list does not concern it

Most changes of the VM list are of agents in other regions, and each cost a full computation of the subset.

The control state looks at the VMs that differ from the list its links were made for, and computes them anew only for entries, agents of its own region, agents it is linked with, and agents of targets that have none in the region. Links kept only for open requests are looked at with every list, as before. A property test compares the links with those of an entry that starts anew; it fails when the rule for entries, for targets without an agent in the region, or for kept links is taken away.

--- a/entry/control.go
+++ b/entry/control.go
@@ -10,6 +10,7 @@
 	"damasktrail.dev/frame"
 	"damasktrail.dev/member"
 	"damasktrail.dev/policy"
+	"damasktrail.dev/set"
 	"damasktrail.dev/suspect"
 )
 
@@ -105,21 +106,54 @@
 		return
 	}
 	c.expire(now)
-	if l != nil && (d != c.linked.document || l != c.linked.list || c.linked.dirty) {
-		c.linked = linked{document: d, list: l}
+	if l != nil && c.outdated(d, l) {
+		c.linked = linked{document: d, list: l, remote: member.Remote(c.e.self(l), l, d)}
 		c.relink(d, l)
 	}
+	if l != nil {
+		c.linked.list = l
+	}
 	c.publish(d)
 }
 
 // linked is what the links were made for.
 type linked struct {
 	document *document.Document
-	list     *member.List
+	// list is the newest list for which the links would be the same.
+	list *member.List
+	// remote has the targets without a live agent in this entry's region.
+	remote set.Set[string]
+	// lingering is true while a link is kept only for open requests, or its agent
+	// leaves; such links are looked at with every list.
+	lingering bool
 	// dirty asks for new links although neither value changed.
 	dirty bool
 }
 
+// outdated reports whether the links may have to change. Most changes of the VM
+// list are of agents that this entry has nothing to do with: those of other
+// regions, except where the own region has none.
+func (c *control) outdated(d *document.Document, l *member.List) bool {
+	if d != c.linked.document || c.linked.list == nil || c.linked.dirty {
+		return true
+	}
+	if l == c.linked.list || c.linked.lingering {
+		return l != c.linked.list
+	}
+	home := regionOf(d, c.e.self(l).Domain)
+	concerns := func(vm member.VM, found bool) bool {
+		return found && (vm.Role == member.RoleEntry || regionOf(d, vm.Domain) == home || c.linked.remote.Has(targetOf(d, vm)))
+	}
+	for _, o := range member.Compare(c.linked.list, l).Operations {
+		_, linked := c.agents[o.Name]
+		_, guest := c.guests[o.Name]
+		if linked || guest || concerns(c.linked.list.VM(o.Name)) || concerns(l.VM(o.Name)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *control) expire(now time.Time) {
 	for t, f := range c.floors {
 		if now.After(f.until) {
@@ -152,6 +186,7 @@
 		_, keep := wanted[name]
 		switch {
 		case found && vm.Address == r.vm.Address && (keep || r.inflight.Load() > 0):
+			c.linked.lingering = c.linked.lingering || !keep || vm.State == member.StateLeaving
 			// A leaving agent keeps its link while answers are on the way.
 			if vm.State == member.StateLeaving {
 				r.leaving.Store(true)
@@ -159,6 +194,7 @@
 			}
 		case !found && r.inflight.Load() > 0:
 			// The list lags and can lack a VM that still answers.
+			c.linked.lingering = true
 			r.leaving.Store(true)
 		default:
 			r.stop()
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"damasktrail.dev/document"
 	"damasktrail.dev/group"
@@ -53,9 +56,10 @@
 	return res, vms
 }
 
-// newTestControl returns the control state of entry e00407, which has 271 links. The context of its
+// newTestControl returns the control state of entry e00407, which has 271 links in
+// domain r1-d2 of targetFleet. The context of its
 // tasks has ended, so that no link is dialled.
-func newTestControl(tb testing.TB, d *document.Document, l *member.List) *control {
+func newTestControl(tb testing.TB, d *document.Document, l *member.List, domain string) *control {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	tasks := group.New(ctx)
@@ -63,7 +67,7 @@
 	metrics, err := telemetry.New("entry")
 	require.NoError(tb, err)
 	e := &Entry{
-		settings: Settings{Name: "e00407", Domain: "r1-d2", Subset: 11}, clock: timer.New(tasks), tasks: tasks, metrics: metrics,
+		settings: Settings{Name: "e00407", Domain: domain, Subset: 11}, clock: timer.New(tasks), tasks: tasks, metrics: metrics,
 		log: slog.New(slog.NewTextHandler(io.Discard, nil)), documents: document.NewHolder(), members: member.NewHolder(), learned: newLearned(),
 	}
 	e.rollout = rollout.New(e.documents, e.members, metrics.Count)
@@ -78,7 +82,7 @@
 
 // take brings the list forward by a difference, as a message from a peer does,
 // and refreshes the control state.
-func (c *control) take(tb testing.TB, x member.Difference, now time.Time) {
+func (c *control) take(tb require.TestingT, x member.Difference, now time.Time) {
 	next, err := c.e.members.Load().Apply(x)
 	require.NoError(tb, err)
 	_, err = c.e.members.Offer(next)
@@ -86,12 +90,77 @@
 	c.refresh(now)
 }
 
+// shape is what the links of a control state are for.
+func (c *control) shape() map[string]string {
+	res := map[string]string{}
+	for name, r := range c.agents {
+		res[name] = fmt.Sprint(r.vm.Address, " ", r.target, " ", r.rank)
+	}
+	for name, p := range c.peers {
+		res[name] = p.vm.Address
+	}
+	return res
+}
+
+// Guards against a change of the VM list that is taken for one that does not
+// concern the entry: its links must be those of an entry that starts anew.
+func TestListChanges(t *testing.T) {
+	d, err := document.Parse([]byte(`{"generation": 1, "tiers": [{"name": "high", "rank": 0, "deadline": "30s"}],
+		"domains": [{"name": "d0", "region": "r0"}, {"name": "d1", "region": "r1"}, {"name": "d2", "region": "r2"}],
+		"models": [{"name": "m0", "context": 1}, {"name": "m1", "context": 1}],
+		"sets": [{"name": "s0", "kind": "engine", "model": "m0", "role": "both"}, {"name": "s1", "kind": "engine", "model": "m1", "role": "both"}]}`))
+	require.NoError(t, err)
+	rapid.Check(t, func(rt *rapid.T) {
+		vms := map[string]member.VM{}
+		list := func(version uint64) *member.List {
+			res, err := member.New(version, slices.Collect(maps.Values(vms)))
+			require.NoError(rt, err)
+			return res
+		}
+		busy := rapid.Bool().Draw(rt, "busy")
+		c := newTestControl(t, d, list(1), "d0")
+		for version := range rapid.Uint64Range(1, 20).Draw(rt, "changes") {
+			i := rapid.IntRange(0, 11).Draw(rt, "VM")
+			v := member.VM{
+				Name: fmt.Sprintf("a%d", i), Role: member.RoleAgent, Set: fmt.Sprintf("s%d", i%2), Domain: fmt.Sprintf("d%d", i%3),
+				Address: fmt.Sprintf("127.0.0.1:%d", rapid.IntRange(1, 2).Draw(rt, "port")),
+				State:   rapid.SampledFrom([]string{member.StateLive, member.StateLeaving}).Draw(rt, "state"),
+			}
+			if i >= 8 {
+				v.Name, v.Role, v.Set = fmt.Sprintf("e%d", i), member.RoleEntry, ""
+			}
+			vms[v.Name] = v
+			if rapid.Bool().Draw(rt, "delete") {
+				delete(vms, v.Name)
+			}
+			// A request that ends lets its link end at the next list.
+			for _, r := range c.agents {
+				r.inflight.Store(0)
+				if busy && version%2 == 0 {
+					r.inflight.Store(1)
+				}
+			}
+			next := list(version + 2)
+			c.take(rt, member.Compare(c.e.members.Load(), next), c.e.clock.Now())
+			if !busy || version%2 == 1 {
+				require.Equal(rt, newTestControl(t, d, next, "d0").shape(), c.shape())
+			}
+			for target, agents := range c.e.snapshot.Load().targets {
+				for _, r := range agents {
+					require.Same(rt, c.agents[r.vm.Name], r)
+					require.Equal(rt, r.target, target)
+				}
+			}
+		}
+	})
+}
+
 // BenchmarkListChange takes a change of one VM and its reversal.
 func BenchmarkListChange(b *testing.B) {
 	d, vms := targetFleet(b)
 	first, err := member.New(1, vms)
 	require.NoError(b, err)
-	c := newTestControl(b, d, first)
+	c := newTestControl(b, d, first, "r1-d2")
 	require.Len(b, c.agents, 271)
 	position := func(want func(v member.VM) bool) int {
 		for i, v := range vms {
@@ -139,7 +208,7 @@
 	d, vms := targetFleet(b)
 	l, err := member.New(1, vms)
 	require.NoError(b, err)
-	c := newTestControl(b, d, l)
+	c := newTestControl(b, d, l, "r1-d2")
 	now := c.e.clock.Now()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/member/rank.go
+++ b/member/rank.go
@@ -184,6 +184,19 @@
 	return res
 }
 
+// Remote returns the targets without a live agent in the entry's region. For
+// these alone [Subset] has agents of other regions.
+func Remote(entry VM, list *List, d *document.Document) set.Set[string] {
+	where := regionsOf(d)
+	res := set.Set[string]{}
+	for name, t := range targets(where[entry.Domain], where, list, d) {
+		if len(t.near) == 0 {
+			res.Add(name)
+		}
+	}
+	return res
+}
+
 // targets sorts the live agents by what callers name to reach them.
 func targets(home string, where regions, list *List, d *document.Document) map[string]*target {
 	res := map[string]*target{}
