--- a/entry/control.go
+++ b/entry/control.go
@@ -58,6 +58,8 @@
 	// chosen is the name of policy in the document.
 	chosen string
 	linked linked
+	// changed is true when the snapshot lacks a change of this state.
+	changed bool
 	// announced is the generation that was last sent to peers.
 	announced uint64
 }
@@ -113,7 +115,10 @@
 	if l != nil {
 		c.linked.list = l
 	}
-	c.publish(d)
+	if s := c.e.snapshot.Load(); c.changed || s == nil || s.document != d {
+		c.publish(d)
+		c.changed = false
+	}
 }
 
 // linked is what the links were made for.
@@ -158,6 +163,7 @@
 	for t, f := range c.floors {
 		if now.After(f.until) {
 			delete(c.floors, t)
+			c.changed = true
 		}
 	}
 	for name, until := range c.guests {
@@ -166,11 +172,14 @@
 			c.linked.dirty = true
 		}
 	}
-	c.suspects.Expire(now)
+	if c.suspects.Expire(now) {
+		c.changed = true
+	}
 }
 
 // relink starts and stops links to agents and peers.
 func (c *control) relink(d *document.Document, l *member.List) {
+	c.changed = true
 	self := c.e.self(l)
 	wanted := map[string]member.VM{}
 	for _, vm := range member.Subset(self, l, d, c.e.settings.Subset) {
@@ -294,6 +303,7 @@
 		}
 	}
 	if len(news) > 0 || len(raised) > 0 {
+		c.changed = true
 		c.spread(news, raised)
 	}
 }
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -14,9 +14,11 @@
 	"pgregory.net/rapid"
 
 	"damasktrail.dev/document"
+	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
 	"damasktrail.dev/member"
 	"damasktrail.dev/rollout"
+	"damasktrail.dev/suspect"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/timer"
 )
@@ -155,6 +157,55 @@
 	})
 }
 
+// Guards against a snapshot that keeps what has changed, and against one that
+// is made anew at every event.
+func TestPublish(t *testing.T) {
+	d, vms := targetFleet(t)
+	l, err := member.New(1, vms)
+	require.NoError(t, err)
+	c := newTestControl(t, d, l, "r1-d2")
+	now := c.e.clock.Now()
+	last := c.e.snapshot.Load()
+	// published refreshes and reports whether there is a new snapshot.
+	published := func(now time.Time) bool {
+		c.refresh(now)
+		before := last
+		last = c.e.snapshot.Load()
+		return last != before
+	}
+	require.False(t, published(now))
+	c.hear(nil, []frame.Floor{{Model: "m1", Tier: 1}}, now)
+	require.True(t, published(now))
+	require.Equal(t, map[string]int{"m1": 1}, last.floors)
+	c.hear(nil, []frame.Floor{{Model: "m1", Tier: 2}}, now)
+	require.False(t, published(now), "the floor that holds is higher")
+	require.True(t, published(now.Add(floorLife+1)))
+	require.Empty(t, last.floors)
+
+	for crash := range uint64(2) {
+		c.hear([]frame.Suspect{{Fingerprint: 7, Crashes: []uint64{crash}}}, nil, now)
+		require.True(t, published(now))
+	}
+	require.Contains(t, last.poisoned, uint64(7))
+	require.True(t, published(now.Add(suspect.Life)))
+	require.Empty(t, last.poisoned)
+
+	c.guests["a00001"], c.linked.dirty = now.Add(time.Second), true
+	require.True(t, published(now))
+	require.Contains(t, last.agents, "a00001")
+	require.True(t, published(now.Add(2*time.Second)))
+	require.NotContains(t, last.agents, "a00001")
+
+	next := *d
+	next.Generation++
+	parsed, err := document.Parse(next.Encode())
+	require.NoError(t, err)
+	_, err = c.e.documents.Offer(parsed)
+	require.NoError(t, err)
+	require.True(t, published(now))
+	require.Same(t, parsed, last.document)
+}
+
 // BenchmarkListChange takes a change of one VM and its reversal.
 func BenchmarkListChange(b *testing.B) {
 	d, vms := targetFleet(b)
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -90,13 +90,16 @@
 	return len(r.crashes)
 }
 
-// Expire forgets fingerprints whose latest crash is older than Life.
-func (l *List) Expire(now time.Time) {
+// Expire forgets fingerprints whose latest crash is older than Life, and reports
+// whether there were any.
+func (l *List) Expire(now time.Time) bool {
+	before := len(l.records)
 	for f, r := range l.records {
 		if now.Sub(r.latest) >= Life {
 			delete(l.records, f)
 		}
 	}
+	return len(l.records) < before
 }
 
 // Report returns all records as messages.
