Choose agents anew only for the targets that a change concerns

A change of an agent in the entry's own region computed the agents of all 24 models, although the parts of the subset do not depend on each other.

member.Choose returns the subset by target, for some targets or all. The control state keeps the choice and asks only for the targets of changed agents; links are looked at when a choice, a linked agent or an entry changed. A request that adds a guest no longer chooses all agents anew.

The benchmark named "entry of the region" had taken an entry of another region until now and is corrected.

--- a/entry/control.go
+++ b/entry/control.go
@@ -108,13 +108,9 @@
 		return
 	}
 	c.expire(now)
-	if l != nil && c.outdated(d, l) {
-		c.linked = linked{document: d, list: l, remote: member.Remote(c.e.self(l), l, d)}
+	if l != nil && c.choose(d, l) {
 		c.relink(d, l)
 	}
-	if l != nil {
-		c.linked.list = l
-	}
 	if s := c.e.snapshot.Load(); c.changed || s == nil || s.document != d {
 		c.publish(d)
 		c.changed = false
@@ -126,8 +122,8 @@
 	document *document.Document
 	// list is the newest list for which the links would be the same.
 	list *member.List
-	// remote has the targets without a live agent in this entry's region.
-	remote set.Set[string]
+	// choices has the agents of each target of the document.
+	choices map[string]member.Choice
 	// lingering is true while a link is kept only for open requests, or its agent
 	// leaves; such links are looked at with every list.
 	lingering bool
@@ -135,28 +131,44 @@
 	dirty bool
 }
 
-// outdated reports whether the links may have to change. Most changes of the VM
-// list are of agents that this entry has nothing to do with: those of other
-// regions, except where the own region has none.
-func (c *control) outdated(d *document.Document, l *member.List) bool {
-	if d != c.linked.document || c.linked.list == nil || c.linked.dirty {
-		return true
-	}
-	if l == c.linked.list || c.linked.lingering {
-		return l != c.linked.list
-	}
-	home := regionOf(d, c.e.self(l).Domain)
-	concerns := func(vm member.VM, found bool) bool {
-		return found && (vm.Role == member.RoleEntry || regionOf(d, vm.Domain) == home || c.linked.remote.Has(targetOf(d, vm)))
+// choose brings the choice of agents up to date and reports whether links may
+// have to change. Most changes of the VM list are of agents that this entry has
+// nothing to do with, so agents are chosen anew only for the targets concerned.
+func (c *control) choose(d *document.Document, l *member.List) bool {
+	k := &c.linked
+	relink, all := k.dirty, d != k.document || k.list == nil
+	only := set.Set[string]{}
+	if !all && l != k.list {
+		relink = relink || k.lingering
+		for _, o := range member.Compare(k.list, l).Operations {
+			_, linked := c.agents[o.Name]
+			_, guest := c.guests[o.Name]
+			relink = relink || linked || guest
+			for _, version := range []*member.List{k.list, l} {
+				if vm, found := version.VM(o.Name); found {
+					home := regionOf(d, vm.Domain) == regionOf(d, c.e.self(version).Domain)
+					// An entry of any region can be a peer.
+					relink = relink || vm.Role == member.RoleEntry
+					all = all || vm.Role == member.RoleEntry && home
+					if t := targetOf(d, vm); home || k.choices[t].Remote {
+						only.Add(t)
+					}
+				}
+			}
+		}
 	}
-	for _, o := range member.Compare(c.linked.list, l).Operations {
-		_, linked := c.agents[o.Name]
-		_, guest := c.guests[o.Name]
-		if linked || guest || concerns(c.linked.list.VM(o.Name)) || concerns(l.VM(o.Name)) {
-			return true
+	k.document, k.list, k.dirty = d, l, false
+	switch self := c.e.self(l); {
+	case all:
+		k.choices = member.Choose(self, l, d, c.e.settings.Subset, nil)
+		return true
+	case len(only) > 0:
+		for t, choice := range member.Choose(self, l, d, c.e.settings.Subset, only) {
+			relink = relink || !choice.Equal(k.choices[t])
+			k.choices[t] = choice
 		}
 	}
-	return false
+	return relink
 }
 
 func (c *control) expire(now time.Time) {
@@ -179,11 +191,13 @@
 
 // relink starts and stops links to agents and peers.
 func (c *control) relink(d *document.Document, l *member.List) {
-	c.changed = true
+	c.changed, c.linked.lingering = true, false
 	self := c.e.self(l)
 	wanted := map[string]member.VM{}
-	for _, vm := range member.Subset(self, l, d, c.e.settings.Subset) {
-		wanted[vm.Name] = vm
+	for _, choice := range c.linked.choices {
+		for _, vm := range choice.Agents {
+			wanted[vm.Name] = vm
+		}
 	}
 	for name := range c.guests {
 		if vm, found := l.VM(name); found && vm.Role == member.RoleAgent {
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -229,7 +229,7 @@
 		"agent of the region":     position(func(v member.VM) bool { return v.Role == member.RoleAgent && near(v) && !linked(v) }),
 		"linked agent":            position(linked),
 		"entry of another region": position(func(v member.VM) bool { return v.Role == member.RoleEntry && !near(v) }),
-		"entry of the region":     5 * 7,
+		"entry of the region":     position(func(v member.VM) bool { return v.Role == member.RoleEntry && near(v) }),
 	} {
 		b.Run(name, func(b *testing.B) {
 			changed := append([]member.VM(nil), vms...)
--- a/member/rank.go
+++ b/member/rank.go
@@ -157,51 +157,75 @@
 //
 // Leaving VMs and VMs of sets that the document lacks are left out.
 func Subset(entry VM, list *List, d *document.Document, size int) []VM {
-	where := regionsOf(d)
-	peers := where.entries(list, where[entry.Domain])
 	var res []VM
-	for _, t := range targets(where[entry.Domain], where, list, d) {
-		if len(t.near) == 0 {
-			res = append(res, choose(entry.Name, t.far, size)...)
-			continue
-		}
-		chosen := choose(entry.Name, t.near, size)
-		res = append(res, chosen...)
-		if len(chosen) == len(t.near) {
-			continue
-		}
-		has := make(set.Set[string], len(chosen))
-		for _, v := range chosen {
-			has.Add(v.Name)
-		}
-		for _, v := range t.near {
-			if !has.Has(v.Name) && ahead(&entry, v, peers, Sponsors) < Sponsors {
-				res = append(res, *v)
-			}
-		}
+	for _, c := range Choose(entry, list, d, size, nil) {
+		res = append(res, c.Agents...)
 	}
 	slices.SortFunc(res, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
 	return res
 }
 
-// Remote returns the targets without a live agent in the entry's region. For
-// these alone [Subset] has agents of other regions.
-func Remote(entry VM, list *List, d *document.Document) set.Set[string] {
+// Choice is the part of [Subset] for one target.
+type Choice struct {
+	// Agents are sorted by name.
+	Agents []VM
+	// Remote says that the entry's region has no live agent of the target; the
+	// agents are those of other regions.
+	Remote bool
+}
+
+// Equal reports whether both choices are the same.
+func (c Choice) Equal(o Choice) bool {
+	return c.Remote == o.Remote && slices.Equal(c.Agents, o.Agents)
+}
+
+// Choose returns the parts of [Subset] for the given targets, for all when only
+// is nil. The parts do not depend on each other, and depend on no entry outside
+// the region.
+func Choose(entry VM, list *List, d *document.Document, size int, only set.Set[string]) map[string]Choice {
 	where := regionsOf(d)
-	res := set.Set[string]{}
-	for name, t := range targets(where[entry.Domain], where, list, d) {
-		if len(t.near) == 0 {
-			res.Add(name)
+	peers := where.entries(list, where[entry.Domain])
+	all := targets(where[entry.Domain], where, list, d, only)
+	res := make(map[string]Choice, len(all))
+	for name, t := range all {
+		var c Choice
+		if c.Remote = len(t.near) == 0; c.Remote {
+			c.Agents = choose(entry.Name, t.far, size)
+		} else {
+			c.Agents = choose(entry.Name, t.near, size)
+			if len(c.Agents) < len(t.near) {
+				c.Agents = sponsored(&entry, c.Agents, t.near, peers)
+			}
 		}
+		slices.SortFunc(c.Agents, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
+		res[name] = c
 	}
 	return res
 }
 
-// targets sorts the live agents by what callers name to reach them.
-func targets(home string, where regions, list *List, d *document.Document) map[string]*target {
+// sponsored adds to the chosen agents those near ones that the entry sponsors.
+func sponsored(entry *VM, chosen []VM, near, peers []*VM) []VM {
+	has := make(set.Set[string], len(chosen))
+	for _, v := range chosen {
+		has.Add(v.Name)
+	}
+	for _, v := range near {
+		if !has.Has(v.Name) && ahead(entry, v, peers, Sponsors) < Sponsors {
+			chosen = append(chosen, *v)
+		}
+	}
+	return chosen
+}
+
+// targets sorts the live agents by what callers name to reach them, for the
+// given targets or, when only is nil, for all.
+func targets(home string, where regions, list *List, d *document.Document, only set.Set[string]) map[string]*target {
 	res := map[string]*target{}
 	bySet := make(map[string]*target, len(d.Sets))
 	for _, s := range d.Sets {
+		if only != nil && !only.Has(s.Target()) {
+			continue
+		}
 		// A service set may not have the name of a model, so keys do not collide.
 		t := res[s.Target()]
 		if t == nil {
