Test that an entry's links follow the entries of its region

The property test of list changes had too few agents for the choice of agents to depend on entries, so a missing rule for entries of the region passed. It now starts from a full list with 20 agents of a target. The rule for linked agents did nothing beyond the others and is gone.

--- a/entry/control.go
+++ b/entry/control.go
@@ -141,9 +141,8 @@
 	if !all && l != k.list {
 		relink = relink || k.lingering
 		for _, o := range member.Compare(k.list, l).Operations {
-			_, linked := c.agents[o.Name]
 			_, guest := c.guests[o.Name]
-			relink = relink || linked || guest
+			relink = relink || guest
 			for _, version := range []*member.List{k.list, l} {
 				if vm, found := version.VM(o.Name); found {
 					home := regionOf(d, vm.Domain) == regionOf(d, c.e.self(version).Domain)
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -112,8 +112,22 @@
 		"models": [{"name": "m0", "context": 1}, {"name": "m1", "context": 1}],
 		"sets": [{"name": "s0", "kind": "engine", "model": "m0", "role": "both"}, {"name": "s1", "kind": "engine", "model": "m1", "role": "both"}]}`))
 	require.NoError(t, err)
+	vm := func(i int) member.VM {
+		if i >= 8 {
+			return member.VM{Name: fmt.Sprintf("e%d", i), Role: member.RoleEntry, Domain: fmt.Sprintf("d%d", i/11), Address: "127.0.0.1:1"}
+		}
+		return member.VM{Name: fmt.Sprintf("a%d", i), Set: fmt.Sprintf("s%d", i%2), Domain: fmt.Sprintf("d%d", i%3), Address: "127.0.0.1:1"}
+	}
 	rapid.Check(t, func(rt *rapid.T) {
 		vms := map[string]member.VM{}
+		for i := range 12 {
+			vms[vm(i).Name] = vm(i)
+		}
+		// With 20 agents of a target the subset depends on the region's entries.
+		for i := range 20 {
+			v := member.VM{Name: fmt.Sprintf("b%d", i), Set: "s0", Domain: "d0", Address: "127.0.0.1:1"}
+			vms[v.Name] = v
+		}
 		list := func(version uint64) *member.List {
 			res, err := member.New(version, slices.Collect(maps.Values(vms)))
 			require.NoError(rt, err)
@@ -123,16 +137,11 @@
 		c := newTestControl(t, d, list(1), "d0")
 		for version := range rapid.Uint64Range(1, 20).Draw(rt, "changes") {
 			i := rapid.IntRange(0, 11).Draw(rt, "VM")
-			v := member.VM{
-				Name: fmt.Sprintf("a%d", i), Role: member.RoleAgent, Set: fmt.Sprintf("s%d", i%2), Domain: fmt.Sprintf("d%d", i%3),
-				Address: fmt.Sprintf("127.0.0.1:%d", rapid.IntRange(1, 2).Draw(rt, "port")),
-				State:   rapid.SampledFrom([]string{member.StateLive, member.StateLeaving}).Draw(rt, "state"),
-			}
-			if i >= 8 {
-				v.Name, v.Role, v.Set = fmt.Sprintf("e%d", i), member.RoleEntry, ""
-			}
+			v := vm(i)
+			v.Address = fmt.Sprintf("127.0.0.1:%d", rapid.IntRange(1, 2).Draw(rt, "port"))
+			v.State = rapid.SampledFrom([]string{member.StateLive, member.StateLeaving}).Draw(rt, "state")
 			vms[v.Name] = v
-			if rapid.Bool().Draw(rt, "delete") {
+			if rapid.IntRange(0, 3).Draw(rt, "delete") == 0 {
 				delete(vms, v.Name)
 			}
 			// A request that ends lets its link end at the next list.
