Show the status of entries and agents on the command line

"damasktrail status ADDRESS..." reads /v1/status of the operators' listeners at once, with a timeout for each, and prints a table or JSON and the names of the processes behind the highest generation. The exit code is 1 when one is unreachable or behind.

--- a/cmd/damasktrail/main.go
+++ b/cmd/damasktrail/main.go
@@ -15,7 +15,8 @@
 // The exit codes.
 const (
 	exitOK = 0
-	// exitDifferent is for documents that differ or are invalid.
+	// exitDifferent is for documents that differ or are invalid, and for processes
+	// that are unreachable or lag.
 	exitDifferent = 1
 	exitUsage     = 2
 	// exitFile is for files that cannot be read or written.
@@ -48,6 +49,7 @@
 	}{
 		{"check", "Check a document", "Reads a document and lists all its problems.", &check{out: out}},
 		{"diff", "Compare two documents", "Lists the changes that lead from document A to document B.", &diff{out: out}},
+		{"status", "Show entries and agents", "Reads the operators' listeners at the given addresses (host:port) and lists what the processes say of themselves.", &status{out: out, problems: problems}},
 		{"keys", "Make development certificates", "Makes a development authority where there is none, and a certificate of it for one process.", &keys{out: out}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
@@ -63,7 +65,7 @@
 	if err == nil {
 		return exitOK
 	}
-	if errors.Is(err, errDifferent) {
+	if errors.Is(err, errDifferent) || errors.Is(err, errBehind) {
 		return exitDifferent
 	}
 	if invalid, ok := errors.AsType[*fileInvalidError](err); ok {
