Look for silent links with one subscription

Cause: each link to an agent had its own subscription of 500 ms; 264 of them woke an idle entry 528 times a second.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,6 +115,8 @@
 	e.tasks.Go(e.acceptPeers)
 	e.tasks.Go(func(ctx context.Context) { e.read(ctx, frame.TopicDocument, e.source.Document, e.rollout.Generation) })
 	e.tasks.Go(func(ctx context.Context) { e.read(ctx, frame.TopicVMs, e.source.VMs, e.rollout.Members) })
+	// One subscription for all links: 264 would wake the process 528 times a second.
+	e.clock.Subscribe(watchInterval, e.watch)
 	e.clock.Subscribe(tick, func(time.Time) { e.post(func(*control) {}) })
 	e.log.Info("started", "gossip", e.listener.Address(), "incarnation", e.incarnation)
 }
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -69,6 +69,8 @@
 	out         chan message
 	// heard is the time of the latest frame on any stream, in Unix nanoseconds.
 	heard atomic.Int64
+	// silent is set before the connection is closed because nothing arrives.
+	silent atomic.Bool
 
 	mu sync.Mutex
 	// tickets maps the ids of Issue messages to those who wait for the answer.
@@ -228,14 +230,6 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close("not in the subset") })
 	defer stop()
 	tasks.Go(s.write)
-	silent := false
-	cancel := e.clock.Subscribe(watchInterval, func(now time.Time) {
-		if e.silent(r, s, now) {
-			silent = true
-			conn.Close("silent")
-		}
-	})
-	defer cancel()
 	for _, m := range e.rollout.Compare(hello.Generation, 0) {
 		s.send(m.Kind, m.Body)
 	}
@@ -243,12 +237,26 @@
 	r.session.Store(s)
 	defer r.session.Store(nil)
 	err = e.receiveAgent(r, s)
-	if silent {
+	if s.silent.Load() {
 		return errSilent
 	}
 	return err
 }
 
+// watch closes the links to agents that are silent.
+func (e *Entry) watch(now time.Time) {
+	s := e.snapshot.Load()
+	if s == nil {
+		return
+	}
+	for _, r := range s.agents {
+		if live := r.session.Load(); live != nil && e.silent(r, live, now) {
+			live.silent.Store(true)
+			live.conn.Close("silent")
+		}
+	}
+}
+
 // silent asks for a beat on a quiet link with open attempts and reports whether
 // the link must be given up.
 func (e *Entry) silent(r *remote, s *session, now time.Time) bool {
