--- a/capacity/load.go
+++ b/capacity/load.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -92,7 +93,9 @@
 }
 
 // Run keeps the given number of streams open for a time, each of which asks again
-// when its answer ends. With direct set it asks the endpoints in turn.
+// when its answer ends. Answers have half to one and a half times the given
+// tokens: with equal lengths all streams would end in the same decode step and
+// ask again at once. With direct set it asks the endpoints in turn.
 func (p *Path) Run(streams, tokens int, d time.Duration, direct bool) (res Result, err error) {
 	urls := []string{p.Entry.Address}
 	if direct {
@@ -101,25 +104,18 @@
 			urls = append(urls, e.Address)
 		}
 	}
-	body, err := json.Marshal(map[string]any{
-		"model": modelName(0), "stream": true, "max_tokens": tokens,
-		"messages": []map[string]string{{"role": "user", "content": "Assess this portfolio of woven damask."}},
-	})
-	if err != nil {
-		return res, err
-	}
 	ctx, cancel := context.WithTimeout(p.tasks.Context(), limit)
 	defer cancel()
 	// A first answer for each stream opens the connections outside the measurement.
 	for _, measured := range []bool{false, true} {
-		if res, err = p.round(ctx, urls, body, streams, d, measured); err != nil {
+		if res, err = p.round(ctx, urls, tokens, streams, d, measured); err != nil {
 			return res, err
 		}
 	}
 	return res, nil
 }
 
-func (p *Path) round(ctx context.Context, urls []string, body []byte, streams int, d time.Duration, measured bool) (res Result, err error) {
+func (p *Path) round(ctx context.Context, urls []string, tokens, streams int, d time.Duration, measured bool) (res Result, err error) {
 	var mu sync.Mutex
 	entry, agents, err := p.cpu()
 	if err != nil {
@@ -129,9 +125,10 @@
 	tasks := group.New(ctx)
 	for i := range streams {
 		url := "http://" + urls[i%len(urls)] + "/v1/chat/completions"
+		random := rand.New(rand.NewPCG(uint64(i), uint64(streams)))
 		tasks.Go(func(ctx context.Context) {
 			for {
-				a, askErr := p.ask(ctx, url, body)
+				a, askErr := p.ask(ctx, url, request(tokens/2+random.IntN(tokens+1)))
 				mu.Lock()
 				err = errors.Join(err, askErr)
 				stop := err != nil
@@ -153,6 +150,17 @@
 	return res, errors.Join(err, cpuErr)
 }
 
+func request(tokens int) []byte {
+	res, err := json.Marshal(map[string]any{
+		"model": modelName(0), "stream": true, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": "Assess this portfolio of woven damask."}},
+	})
+	if err != nil {
+		panic(err) // The value holds only strings and numbers.
+	}
+	return res
+}
+
 func (p *Path) cpu() (entry, agents time.Duration, err error) {
 	entry, err = p.Entry.CPU()
 	for _, a := range p.Agents {
@@ -173,6 +181,7 @@
 	prefix   = []byte("data: ")
 	done     = []byte("[DONE]")
 	text     = []byte(`"content":"`)
+	empty    = []byte(`"content":""`)
 )
 
 // ask sends one request and reads its answer. It looks for the text of a token
@@ -201,7 +210,7 @@
 		case bytes.Equal(data, done):
 			res.total = p.clock.Now().Sub(start)
 			return res, nil
-		case bytes.Contains(data, text):
+		case bytes.Contains(data, text) && !bytes.Contains(data, empty):
 			res.tokens++
 			if res.tokens == 1 {
 				res.first = p.clock.Now().Sub(start)
