--- a/agent/control.go
+++ b/agent/control.go
@@ -21,6 +21,9 @@
 	// retryLeaving is the advice to callers of a leaving or unready endpoint:
 	// another entry or a new agent can answer at once.
 	retryLeaving = 200 * time.Millisecond
+	// missedChecks is the number of failed health checks in a row that make an
+	// endpoint unhealthy.
+	missedChecks = 2
 )
 
 // work is a request that an agent has admitted or may admit.
@@ -64,8 +67,10 @@
 	suspects *suspect.List
 	// crash identifies the next crash of the endpoint.
 	crash uint64
-	// healthy is false from a failed health check until one succeeds.
+	// healthy is false from a crash or failed health checks until one succeeds.
 	healthy bool
+	// missed counts failed health checks in a row.
+	missed int
 	// left is when the agent began to leave; zero before.
 	left time.Time
 	// crashed counts runs that ended in a crash, for the log.
@@ -292,22 +297,51 @@
 // returns the news for the entries.
 func (c *control) crashedWith(w *work, now time.Time) []frame.Suspect {
 	c.crashed++
-	c.healthy = false
+	defer c.down(now)
 	if !c.suspects.Add(w.request.Fingerprint, c.crash, now) {
 		return nil
 	}
 	return []frame.Suspect{{Fingerprint: w.request.Fingerprint, Crashes: []uint64{c.crash}}}
 }
 
-// health takes the result of a health check.
+// health takes the result of a health check. A busy endpoint can miss one; two
+// in a row make it unhealthy.
 func (c *control) health(ok bool, now time.Time) {
-	if ok && !c.healthy {
-		c.crash++
-	}
-	c.healthy = ok
 	if ok {
+		if !c.healthy {
+			c.crash++
+		}
+		c.healthy, c.missed = true, 0
 		c.dispatch(now)
+		return
+	}
+	if c.missed++; c.missed >= missedChecks {
+		c.down(now)
+	}
+}
+
+// down marks the endpoint as unhealthy and hands what waits back to the entries,
+// which send it elsewhere. Requests with a ticket can run only here and stay.
+func (c *control) down(now time.Time) {
+	c.healthy = false
+	c.giveBack(now)
+}
+
+// giveBack refuses waiting requests without a ticket for the reason for which
+// new ones are refused.
+func (c *control) giveBack(now time.Time) {
+	for _, it := range c.waiting.Drain() {
+		c.refuse(it.Value, c.admissible(it.Value, -1, now), now)
+	}
+	kept := c.held[:0]
+	for _, w := range c.held {
+		if w.ticket != "" {
+			kept = append(kept, w)
+			continue
+		}
+		c.refuse(w.work, c.admissible(w.work, -1, now), now)
 	}
+	c.held = kept
 }
 
 // cancel removes a request that waits; a dispatched one is ended by its runner.
@@ -383,18 +417,7 @@
 		return
 	}
 	c.left = now
-	for _, it := range c.waiting.Drain() {
-		c.refuse(it.Value, c.admissible(it.Value, -1, now), now)
-	}
-	kept := c.held[:0]
-	for _, w := range c.held {
-		if w.ticket != "" {
-			kept = append(kept, w)
-			continue
-		}
-		c.refuse(w.work, c.admissible(w.work, -1, now), now)
-	}
-	c.held = kept
+	c.giveBack(now)
 }
 
 // drained reports whether a leaving agent has nothing left to run.
--- a/agent/control_test.go
+++ b/agent/control_test.go
@@ -179,6 +179,10 @@
 					}
 				}
 				m.c.health(false, m.now)
+				require.Empty(m.t, m.c.running)
+				for _, x := range m.all {
+					require.True(m.t, x.w.ticket != "" || x.started > 0 || x.refusal != nil || m.c.healthy, "a request waits at a dead endpoint")
+				}
 			},
 			"recover": func(*rapid.T) { m.c.health(true, m.now) },
 			"wait": func(t *rapid.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,9 +66,11 @@
 	// serial numbers the requests of this incarnation.
 	serial   atomic.Uint64
 	stopping atomic.Bool
-	gate     *gate
-	limits   *limits
-	learned  *learned
+	// checked is the time of the latest check of links; only that check uses it.
+	checked time.Time
+	gate    *gate
+	limits  *limits
+	learned *learned
 }
 
 // TLS holds the settings of an entry's connections.
@@ -119,6 +121,8 @@
 	e.tasks.Go(e.acceptPeers)
 	e.tasks.Go(func(ctx context.Context) { e.watch(ctx, frame.TopicDocument, e.source.Document, e.rollout.Generation) })
 	e.tasks.Go(func(ctx context.Context) { e.watch(ctx, frame.TopicVMs, e.source.VMs, e.rollout.Members) })
+	// One subscription for all links: 264 would wake the process 528 times a second.
+	e.clock.Subscribe(watchInterval, e.checkLinks)
 	e.clock.Subscribe(tick, func(time.Time) { e.post(func(*control) {}) })
 	e.log.Info("started", "gossip", e.listener.Address(), "incarnation", e.incarnation)
 }
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -21,13 +21,6 @@
 	redialMax = 5 * time.Second
 	// dialTimeout bounds one try.
 	dialTimeout = 3 * time.Second
-	// silencePing and silenceLimit are the times without any frame on a link
-	// with open attempts after which a beat is asked for, and after which the
-	// link is given up.
-	silencePing  = 2 * time.Second
-	silenceLimit = 6 * time.Second
-	// watchInterval is that of the silence check.
-	watchInterval = 500 * time.Millisecond
 	// linkFailures is the number of failed dials in a row after which requests no
 	// longer wait for the link.
 	linkFailures = 3
@@ -76,6 +69,11 @@
 	out         chan message
 	// heard is the time of the latest frame on any stream, in Unix nanoseconds.
 	heard atomic.Int64
+	// quiet is the latest time at which nothing was expected from the peer, in
+	// Unix nanoseconds. Silence counts from then.
+	quiet atomic.Int64
+	// silent is set before the connection is closed because nothing arrives.
+	silent atomic.Bool
 
 	mu sync.Mutex
 	// tickets maps the ids of Issue messages to those who wait for the answer.
@@ -224,7 +222,9 @@
 		out:         make(chan message, outbox),
 		tickets:     map[uint64]chan frame.Ticket{},
 	}
-	s.heard.Store(e.clock.Now().UnixNano())
+	now := e.clock.Now().UnixNano()
+	s.heard.Store(now)
+	s.quiet.Store(now)
 	return s
 }
 
@@ -252,47 +252,17 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close("not in the subset") })
 	defer stop()
 	tasks.Go(s.write)
-	silent := false
-	idle := e.clock.Now()
-	cancel := e.clock.Subscribe(watchInterval, func(now time.Time) {
-		if r.inflight.Load() == 0 {
-			idle = now
-			return
-		}
-		if e.silent(s, idle, now) {
-			silent = true
-			conn.Close("silent")
-		}
-	})
-	defer cancel()
 	e.compare(s, frame.TopicDocument, hello.Generation)
 	r.leaving.Store(false)
 	r.session.Store(s)
 	defer r.session.Store(nil)
 	err = e.receiveAgent(r, s)
-	if silent {
+	if s.silent.Load() {
 		return errSilent
 	}
 	return err
 }
 
-// silent asks for a beat on a quiet link with open attempts and reports whether
-// the link must be given up. An idle link may be quiet for a whole interval of
-// heartbeats, so silence counts from idle, the last time without an attempt.
-func (e *Entry) silent(s *session, idle, now time.Time) bool {
-	quiet := min(now.Sub(time.Unix(0, s.heard.Load())), now.Sub(idle))
-	if quiet >= silenceLimit {
-		e.metrics.Count("links_silent", 1)
-		return true
-	}
-	if quiet >= silencePing {
-		b := e.beat()
-		b.Reply = true
-		s.send(frame.KindBeat, b)
-	}
-	return false
-}
-
 // PeerError says that another process answers at an address.
 type PeerError struct {
 	// Want and Got are names of VMs.
--- a/link/link.go
+++ b/link/link.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
@@ -186,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := &quic.Transport{Conn: socket}
+	transport := &quic.Transport{Conn: socket, StatelessResetKey: resetKey(t)}
 	q, err := transport.Listen(t, config())
 	if err != nil {
 		return nil, errors.Join(err, socket.Close())
@@ -194,6 +196,21 @@
 	return &Listener{transport: transport, quic: q}, nil
 }
 
+// resetKey derives the key of stateless resets from the process's private key. A
+// process that took the place of a killed one at the same address can thus end
+// the connections of its predecessor at their next packet.
+func resetKey(t *tls.Config) *quic.StatelessResetKey {
+	if len(t.Certificates) == 0 {
+		return nil
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(t.Certificates[0].PrivateKey)
+	if err != nil {
+		return nil // Without resets the silence of the connection ends it later.
+	}
+	sum := sha256.Sum256(append([]byte("damasktrail stateless reset "), private...))
+	return (*quic.StatelessResetKey)(&sum)
+}
+
 func bind(address string) (*net.UDPConn, error) {
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
