--- a/capacity/slopes_test.go
+++ b/capacity/slopes_test.go
@@ -153,7 +153,7 @@
 func measureLinks(t *testing.T, s *Site) {
 	const perLink = 10 // Heartbeats per second and link, 100 times as designed.
 	table := NewTable("links", "resident MB", "private MB", "idle % of a core", "us/heartbeat", "bytes/heartbeat",
-		"us/change and link", "bytes/push", "bytes/pull")
+		"us/change and link", "bytes/push", "bytes/pull", "bytes/new link", "start ms")
 	var private, idle, beats, pushes []Point
 	wire := NewTable("difference bytes", "bytes/push")
 	var sizes []Point
@@ -175,7 +175,8 @@
 		push := median(t, func() (Cost, error) { c, _, err := st.Push(changes, 1); return c, err })
 		pull := median(t, func() (Cost, error) { return st.Pull(3) })
 		pushUS, pushBytes := each(push, changes*float64(n))
-		table.Row(n, rss, anon, share(rest, window), beatUS, beatBytes, pushUS, pushBytes, pull.Bytes/float64(3*n))
+		table.Row(n, rss, anon, share(rest, window), beatUS, beatBytes, pushUS, pushBytes, pull.Bytes/float64(3*n),
+			st.NewLinks.Bytes/float64(n), float64(st.NewLinks.Time)/1e6)
 		x := float64(n)
 		private, idle = append(private, Point{x, anon * 1e3}), append(idle, Point{x, share(rest, window)})
 		beats = append(beats, Point{perLink * x, share(beat, window)})
@@ -234,6 +235,7 @@
 	require.NoError(t, err)
 	defer st.Stop()
 	rss, anon := memory(t, st)
+	table.Row("from the start to all links", float64(st.NewLinks.Time)/1e6, "ms")
 	table.Row("resident after the start", rss, "MB")
 	table.Row("private after the start", anon, "MB")
 	rest := median(t, func() (Cost, error) { return st.Idle(window) })
--- a/capacity/stage.go
+++ b/capacity/stage.go
@@ -38,6 +38,12 @@
 	// home are the VMs that run, total the length of the list.
 	home  []member.VM
 	total int
+	// NewLinks is the time from the start of an entry until it has all its links
+	// to agents, and the bytes of these.
+	NewLinks struct {
+		Time  time.Duration
+		Bytes float64
+	}
 	stops []func()
 }
 
@@ -75,12 +81,14 @@
 	if err := errors.Join(res.publishDocument(), res.publishList()); err != nil {
 		return nil, err
 	}
+	start := s.clock.Now()
 	if res.Program, err = s.Entry(self); err != nil {
 		return nil, err
 	}
 	if err := res.await(func() bool { return res.Fleet.Linked() == len(res.Fleet.peers) }); err != nil {
 		return nil, err
 	}
+	res.NewLinks.Time, res.NewLinks.Bytes = s.clock.Now().Sub(start), res.Fleet.Traffic()
 	if total > len(res.home) {
 		ctx, cancel := context.WithTimeout(s.tasks.Context(), limit)
 		defer cancel()
