--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -149,6 +149,7 @@
 	if p.waited {
 		return false
 	}
+	p.waited = true
 	for _, name := range p.unsent {
 		delete(p.excluded, name)
 	}
@@ -157,22 +158,20 @@
 		if p.excluded[r.vm.Name] || r.leaving.Load() || r.listed.Load() {
 			continue
 		}
-		if r.session.Load() != nil && !r.usable() {
-			return false // It is reachable and takes nothing now.
-		}
-		if r.session.Load() != nil || r.connecting() {
+		if now := e.clock.Now(); r.live(now) != nil {
+			return r.usable(now) // Otherwise it is reachable and takes nothing now.
+		} else if r.connecting(now) {
 			gone = append(gone, r)
 		}
 	}
 	if len(gone) == 0 {
 		return false
 	}
-	p.waited = true
 	ctx, cancel := context.WithTimeout(ctx, min(linkWait, c.left(e.clock.Now())/2))
 	defer cancel()
 	for e.clock.Sleep(ctx, redialMin) == nil {
 		for _, r := range gone {
-			if r.usable() {
+			if r.usable(e.clock.Now()) {
 				return true
 			}
 		}
@@ -231,20 +230,30 @@
 	return nil
 }
 
-// choose returns the agent for the next attempt, or nil.
+// choose returns the agent for the next attempt, or nil. Ejected agents are
+// taken only when no other is left.
 func (e *Entry) choose(s *snapshot, c *call, excluded map[string]bool) *remote {
 	now := e.clock.Now()
-	var usable []*remote
-	var candidates []damasktrail.Candidate
+	var usable, ejected []*remote
 	for _, r := range s.targets[c.target] {
-		if !excluded[r.vm.Name] && r.usable() && !e.learned.ejected(c.target, r.vm.Name, now) {
+		switch {
+		case excluded[r.vm.Name] || !r.usable(now):
+		case e.learned.ejected(c.target, r.vm.Name, now):
+			ejected = append(ejected, r)
+		default:
 			usable = append(usable, r)
-			candidates = append(candidates, r.candidate(now))
 		}
 	}
+	if len(usable) == 0 {
+		usable = ejected
+	}
 	if len(usable) == 0 {
 		return nil
 	}
+	candidates := make([]damasktrail.Candidate, len(usable))
+	for i, r := range usable {
+		candidates[i] = r.candidate(now)
+	}
 	i, ok := s.policy.Choose(c.request, candidates)
 	if !ok {
 		return nil
@@ -370,14 +379,10 @@
 // means that the whole answer was written.
 func (e *Entry) attempt(ctx context.Context, s *snapshot, c *call, r *remote, out *output) *damasktrail.Refusal {
 	c.confirmed = false
-	live := r.session.Load()
+	live := r.live(e.clock.Now())
 	if live == nil {
 		return notSent("the link to the agent is gone")
 	}
-	if e.clock.Now().Sub(time.Unix(0, live.heard.Load())) > link.IdleTimeout {
-		// After a pause of this process the link can look open for a moment.
-		return notSent("the link to the agent was silent for its idle timeout")
-	}
 	wait, cancel := context.WithTimeout(ctx, openTimeout)
 	stream, err := live.conn.Open(wait)
 	cancel()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,7 +142,7 @@
 		return false // Unless the platform is down, it is asked first.
 	}
 	for _, r := range s.agents {
-		if r.usable() {
+		if r.usable(e.clock.Now()) {
 			return true
 		}
 	}
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -116,9 +116,19 @@
 	r.latest.Store(&report{load: l, at: now})
 }
 
+// live returns the connection, or nil. After a pause of this process a dead
+// connection can look open for a moment; the time of its last frame tells.
+func (r *remote) live(now time.Time) *session {
+	s := r.session.Load()
+	if s == nil || now.Sub(time.Unix(0, s.heard.Load())) > link.IdleTimeout {
+		return nil
+	}
+	return s
+}
+
 // usable reports whether new attempts may go to the agent.
-func (r *remote) usable() bool {
-	if r.leaving.Load() || r.listed.Load() || r.session.Load() == nil {
+func (r *remote) usable(now time.Time) bool {
+	if r.leaving.Load() || r.listed.Load() || r.live(now) == nil {
 		return false
 	}
 	l := r.latest.Load()
@@ -128,8 +138,8 @@
 // connecting reports whether a link to the agent is being made anew after one
 // that was lost a short time ago. An agent that stays unreachable is not waited
 // for.
-func (r *remote) connecting() bool {
-	return r.session.Load() == nil && !r.listed.Load() && !r.leaving.Load() && r.failures.Load() < linkFailures
+func (r *remote) connecting(now time.Time) bool {
+	return r.live(now) == nil && !r.listed.Load() && !r.leaving.Load() && r.failures.Load() < linkFailures
 }
 
 // candidate is what a policy sees of the agent.
--- a/entry/status.go
+++ b/entry/status.go
@@ -47,24 +47,24 @@
 	}
 	for target, list := range s.targets {
 		for _, r := range list {
-			res.Agents = append(res.Agents, r.status(target))
+			res.Agents = append(res.Agents, r.status(target, e.clock.Now()))
 		}
 	}
 	slices.SortFunc(res.Agents, func(a, b AgentStatus) int { return strings.Compare(a.Name, b.Name) })
 	return res
 }
 
-func (r *remote) status(target string) AgentStatus {
+func (r *remote) status(target string, now time.Time) AgentStatus {
 	res := AgentStatus{Name: r.vm.Name, Target: target, State: "live", Inflight: r.inflight.Load()}
 	if l := r.latest.Load(); l != nil {
 		res.Load = l.load
 	}
 	switch {
-	case r.session.Load() == nil:
+	case r.live(now) == nil:
 		res.State = "unreachable"
 	case r.leaving.Load() || r.listed.Load():
 		res.State = "leaving"
-	case !r.usable():
+	case !r.usable(now):
 		res.State = "unhealthy"
 	}
 	return res
