Start the requests of a pause row together

Cause: in the row of a stopped agent the ticket's answer could end before the stop, because finding two more requests at the same agent can take longer than the answer; the row then saw a whole answer instead of a lost one. Change: the three requests are begun anew until they are in progress together. What the rows expect is unchanged.

--- a/faults/connection_test.go
+++ b/faults/connection_test.go
@@ -49,16 +49,27 @@
 	got   [3]*answer
 }
 
+// begin starts the three requests. Finding one that runs at the agent of the
+// ticket can take longer than an answer, so it starts over until all three are
+// in progress at the same time.
 func (c *cluster) begin(e *process, name string, tokens int) (res inProgress) {
 	c.t.Helper()
-	text := c.ticket(e)
-	res.agent = c.issuer(text)
-	res.sent[2] = newRequest(c.t.Name()+name+" ticket", 10, tokens, false).withTicket(text)
-	res.got[2] = c.send(e, res.sent[2])
-	await(c.t, forever, "the ticket runs", func() bool { return c.ran(res.sent[2])[res.agent] == 1 })
-	res.sent[1], res.got[1] = c.running(e, res.agent, name+" whole", tokens, false)
-	res.sent[0], res.got[0] = c.running(e, res.agent, name+" streamed", tokens, true)
-	await(c.t, forever, "the stream has begun", func() bool { return res.got[0].tokens.Load() > 0 })
+	for try := range 20 {
+		unique := fmt.Sprintf("%s %d", name, try)
+		text := c.ticket(e)
+		res.agent = c.issuer(text)
+		res.sent[2] = newRequest(c.t.Name()+unique+" ticket", 10, tokens, false).withTicket(text)
+		res.got[2] = c.send(e, res.sent[2])
+		await(c.t, forever, "the ticket runs", func() bool { return c.ran(res.sent[2])[res.agent] == 1 })
+		res.sent[1], res.got[1] = c.running(e, res.agent, unique+" whole", tokens, false)
+		res.sent[0], res.got[0] = c.running(e, res.agent, unique+" streamed", tokens, true)
+		await(c.t, forever, "the stream has begun", func() bool { return res.got[0].tokens.Load() > 0 })
+		// The endpoint takes 20 ms for a token; half of the first answer is left.
+		if time.Since(res.got[2].sent) < time.Duration(tokens)*10*time.Millisecond {
+			return res
+		}
+	}
+	c.t.Fatal("three requests were never in progress together")
 	return res
 }
 
