Name a wrong setting in one line before the start

Cause: a wrong address or file ended in a long wiring error or in a process that ran without serving. Change: package setting checks addresses, URLs, files and ranges of entry and agent; errors of constructors show their root cause only.

--- a/agent/settings.go
+++ b/agent/settings.go
@@ -1,6 +1,10 @@
 package agent
 
-import "time"
+import (
+	"time"
+
+	"damasktrail.dev/setting"
+)
 
 // Settings are the flags and environment variables of an agent.
 type Settings struct {
@@ -21,3 +25,30 @@
 	Grace     time.Duration `long:"grace" env:"DAMASKTRAIL_GRACE" default:"15m" description:"longest wait for running requests at shutdown"`
 	Level     string        `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
 }
+
+// Limits of settings.
+const (
+	maxInflight = 1 << 16
+	maxWaiting  = 1 << 20
+	maxTokens   = 1 << 30
+	minTicket   = time.Second
+	maxTicket   = 24 * time.Hour
+	maxGrace    = 24 * time.Hour
+)
+
+// Check returns a [*setting.Error] for the first setting that cannot be used.
+func (s Settings) Check() error {
+	return setting.Check(
+		setting.Address("--listen", s.Listen),
+		setting.Address("--admin", s.Admin),
+		setting.URL("--endpoint", s.Endpoint),
+		setting.File("--ca", s.Authority),
+		setting.File("--cert", s.Cert),
+		setting.File("--key", s.Key),
+		setting.Within("--inflight", s.Inflight, 1, maxInflight),
+		setting.Within("--waiting", s.Waiting, 1, maxWaiting),
+		setting.Within("--tokens", s.Tokens, 1, maxTokens),
+		setting.Within("--ticket", s.Ticket, minTicket, maxTicket),
+		setting.Within("--grace", s.Grace, 0, maxGrace),
+	)
+}
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"damasktrail.dev"
@@ -29,6 +30,10 @@
 		}
 		os.Exit(2)
 	}
+	if err := s.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, "agent:", err)
+		os.Exit(2)
+	}
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s),
@@ -37,7 +42,7 @@
 		fx.Invoke(serve),
 	)
 	if err := app.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, "agent:", err)
+		fmt.Fprintln(os.Stderr, "agent:", dig.RootCause(err))
 		os.Exit(1)
 	}
 	app.Run()
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"damasktrail.dev"
@@ -35,6 +36,10 @@
 		}
 		os.Exit(2)
 	}
+	if err := s.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		os.Exit(2)
+	}
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(s),
@@ -43,7 +48,7 @@
 		fx.Invoke(serve),
 	)
 	if err := app.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
+		fmt.Fprintln(os.Stderr, "entry:", dig.RootCause(err))
 		os.Exit(1)
 	}
 	app.Run()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"damasktrail.dev/setting"
+)
 
 // Settings are the flags and environment variables of an entry.
 type Settings struct {
@@ -19,3 +23,29 @@
 	Grace     time.Duration `long:"grace" env:"DAMASKTRAIL_GRACE" default:"5m" description:"longest wait for open requests at shutdown"`
 	Level     string        `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
 }
+
+// Limits of settings. The largest body fits into a frame with the rest of its
+// message.
+const (
+	maxSubset = 1000
+	maxOpen   = 1 << 20
+	maxBody   = 1 << 20
+	maxGrace  = 24 * time.Hour
+)
+
+// Check returns a [*setting.Error] for the first setting that cannot be used.
+func (s Settings) Check() error {
+	return setting.Check(
+		setting.Address("--callers", s.Callers),
+		setting.Address("--admin", s.Admin),
+		setting.Address("--gossip", s.Gossip),
+		setting.URL("--platform", s.Platform),
+		setting.File("--ca", s.Authority),
+		setting.File("--cert", s.Cert),
+		setting.File("--key", s.Key),
+		setting.Within("--subset", s.Subset, 1, maxSubset),
+		setting.Within("--open", s.Open, 1, maxOpen),
+		setting.Within("--body", s.Body, 1, maxBody),
+		setting.Within("--grace", s.Grace, 0, maxGrace),
+	)
+}
