Add a console of forms to the operators' listener of an entry

Cause: operators had to write the document by hand and could check it only with the command line. Change: the listener serves the document in force, the check of another document with the difference, an OpenAPI description and an embedded page of forms. Nothing is written; the operator downloads the document. Paths and messages of problems are cut at 1024 bytes, because a name of 500 kB could be quoted by each of 100 problems. The page was not seen in a browser.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -1,5 +1,6 @@
 // Package admin serves operators of a process: health, readiness, metrics and
-// status. It changes nothing. Start from [New].
+// status, and at an entry the document in force and a console of forms. It
+// changes nothing. Start from [New] and [NewEntry].
 package admin
 
 import (
@@ -16,8 +17,11 @@
 	Status() any
 }
 
-// New returns the handler of the operators' listener.
-func New(p Process, metrics http.Handler) http.Handler {
+// New returns the handler of the operators' listener of an agent; that of an
+// entry is made by [NewEntry].
+func New(p Process, metrics http.Handler) http.Handler { return base(p, metrics) }
+
+func base(p Process, metrics http.Handler) *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
 	g := gin.New()
 	g.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -85,7 +85,7 @@
 		log.Error("listener failed", "error", err)
 		_ = stop.Shutdown(fx.ExitCode(1))
 	}
-	operators, err := admin.Listen(s.Admin, admin.New(e, m.Handler()), tasks, failed)
+	operators, err := admin.Listen(s.Admin, admin.NewEntry(e, m.Handler(), e.Document, m.Count), tasks, failed)
 	if err != nil {
 		return err
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damasktrail.dev"
+	"damasktrail.dev/document"
 )
 
 // Status is what an entry shows to operators.
@@ -30,6 +31,9 @@
 	Load     damasktrail.Load `json:"load"`
 }
 
+// Document returns the document in force, nil before the first.
+func (e *Entry) Document() *document.Document { return e.documents.Load() }
+
 // Status returns the state at this moment.
 func (e *Entry) Status() any {
 	res := Status{
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -48,6 +48,10 @@
 // of items would otherwise fill the log.
 const MaxProblems = 100
 
+// maxText bounds path and message of a problem in bytes: both may quote a value
+// of the text, and a name of 500 kB could be quoted by each of 100 problems.
+const maxText = 1024
+
 // Problem is one fault of a text.
 type Problem struct {
 	// Path leads to the fault, as in organisations[2].tiers[0], by the order of
@@ -79,7 +83,19 @@
 		p.Omitted++
 		return
 	}
-	p.List = append(p.List, Problem{Path: l.String(), Message: fmt.Sprintf(format, args...)})
+	p.List = append(p.List, Problem{Path: clip(l.String()), Message: clip(fmt.Sprintf(format, args...))})
+}
+
+// clip shortens s to maxText bytes at the start of a character.
+func clip(s string) string {
+	if len(s) <= maxText {
+		return s
+	}
+	end := maxText
+	for !utf8.RuneStart(s[end]) {
+		end--
+	}
+	return s[:end] + "..."
 }
 
 // String returns the first problem and the number of the others.
