--- a/admin/console/console.js
+++ b/admin/console/console.js
@@ -328,6 +328,7 @@
   if (checked === null) return;
   const url = URL.createObjectURL(new Blob([checked], { type: "application/json" }));
   make("a", { href: url, download: `document-${read(generalParts[0])}.json` }).click();
-  URL.revokeObjectURL(url);
+  // Some browsers read the data only after the click has been handled.
+  setTimeout(() => URL.revokeObjectURL(url), 60000);
 });
 start();
--- a/admin/console_test.go
+++ b/admin/console_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -10,7 +11,9 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"testing/iotest"
 
 	"github.com/gin-gonic/gin"
 	"github.com/stretchr/testify/require"
@@ -126,6 +129,38 @@
 	}
 }
 
+// Guards against checks that together take the memory of an entry, and against
+// places that are never given back.
+func TestChecksAtATime(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	h := admin.NewEntry(process{}, http.NotFoundHandler(), func() *document.Document {
+		begun <- struct{}{}
+		<-release
+		return nil
+	}, func(string, int64) {})
+	var checks sync.WaitGroup
+	for range 4 {
+		checks.Go(func() { ask(h, http.MethodPost, "/v1/check", "{}") })
+		<-begun
+	}
+	require.Equal(t, http.StatusServiceUnavailable, ask(h, http.MethodPost, "/v1/check", "{}").Code)
+	close(release)
+	checks.Wait()
+	checks.Go(func() { <-begun })
+	require.Equal(t, http.StatusOK, ask(h, http.MethodPost, "/v1/check", "{}").Code)
+	checks.Wait()
+}
+
+// Guards against half a body that is taken for a document.
+func TestCheckOfBrokenBody(t *testing.T) {
+	h, refusals := listener(nil)
+	w := httptest.NewRecorder()
+	body := io.MultiReader(strings.NewReader("{}"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/check", body))
+	require.Equal(t, http.StatusBadRequest, w.Code)
+	require.EqualValues(t, 1, *refusals)
+}
+
 // Guards against an answer that grows beyond what a document can hold: names
 // that are quoted by each problem, and one operation for each tiny item.
 func TestCheckIsBounded(t *testing.T) {
