--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -81,9 +81,10 @@
 		id = open.Ticket
 	}
 	return &work{
-		id:     id,
-		ticket: open.Ticket,
-		stream: open.Stream,
+		id:      id,
+		ticket:  open.Ticket,
+		stream:  open.Stream,
+		longest: open.Longest,
 		request: damasktrail.Request{
 			Organisation: open.Organisation,
 			Model:        open.Model,
--- a/agent/control.go
+++ b/agent/control.go
@@ -35,6 +35,8 @@
 	ticket string
 	// stream says that the answer comes token by token.
 	stream bool
+	// longest is a number of tokens that the answer hardly exceeds.
+	longest int
 	// start and refuse are called by the control goroutine; exactly one of them,
 	// once, and neither blocks.
 	start  func()
@@ -107,6 +109,7 @@
 	evicted, refusal := c.waiting.Push(queue.Item[*work]{
 		ID:       w.id,
 		Request:  w.request,
+		Longest:  w.longest,
 		Ticketed: w.ticket != "",
 		Value:    w,
 	}, now)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -428,6 +428,7 @@
 		Floor:        lowest,
 		Fingerprint:  c.request.Fingerprint,
 		Cost:         c.request.Cost,
+		Longest:      c.longest,
 	}
 }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -43,7 +43,9 @@
 	typ    string
 	body   []byte
 	stream bool
-	// longest bounds the answer in tokens; zero when the caller set no bound.
+	// bound is the caller's bound on the answer in tokens; zero when it set none.
+	bound int
+	// longest is a number of tokens that the answer hardly exceeds.
 	longest int
 	// idempotent says that the request may run twice.
 	idempotent bool
@@ -155,14 +157,16 @@
 		}
 	}
 	c.target, c.stream = m.Name, b.Stream
-	c.longest = max(b.MaxTokens, b.MaxCompletionTokens)
+	c.bound = max(b.MaxTokens, b.MaxCompletionTokens)
 	return nil
 }
 
 // weigh sets what decisions need.
-func (c *call) weigh(cost damasktrail.Cost) {
-	if c.longest > 0 {
-		cost.Decode = min(cost.Decode, c.longest)
+func (c *call) weigh(cost damasktrail.Cost, longest int) {
+	c.longest = longest
+	if c.bound > 0 {
+		cost.Decode = min(cost.Decode, c.bound)
+		c.longest = min(c.longest, c.bound)
 	}
 	c.request.Cost = cost
 	c.request.Organisation = c.organisation.Name
--- a/entry/learned.go
+++ b/entry/learned.go
@@ -48,12 +48,13 @@
 	}
 }
 
-// fresh counts a new request and estimates its cost.
-func (l *learned) fresh(organisation, target string, body int) damasktrail.Cost {
+// fresh counts a new request and estimates its cost and the greatest number of
+// tokens that its answer is likely to have.
+func (l *learned) fresh(organisation, target string, body int) (cost damasktrail.Cost, longest int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.budget.Fresh(organisation)
-	return l.lengths.Cost(organisation, target, body)
+	return l.lengths.Cost(organisation, target, body), l.lengths.Longest(organisation, target, body)
 }
 
 // retry pays for a retry after a possible dispatch and reports whether the
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -198,7 +198,7 @@
 		e.refuse(g.Writer, c, refusal)
 		return
 	}
-	c.weigh(damasktrail.Cost{})
+	c.weigh(damasktrail.Cost{}, 0)
 	t, refusal := e.issue(g.Request.Context(), c)
 	if refusal != nil {
 		e.refuse(g.Writer, c, refusal)
--- a/frame/message.go
+++ b/frame/message.go
@@ -29,6 +29,8 @@
 	Floor       int              `cbor:"floor"`
 	Fingerprint uint64           `cbor:"fingerprint"`
 	Cost        damasktrail.Cost `cbor:"cost"`
+	// Longest is a number of generated tokens that the answer hardly exceeds.
+	Longest int `cbor:"longest"`
 }
 
 // Head starts an answer.
