Send a prompt to the agent that has its start cached

Cause: the policy had a place for cached prefill and nothing filled it. Change: the entry remembers which agent answered a prefix, at lengths that double. Now the difference that the cache makes is weighed without that doubt, as far as the agent with the cache is the better one.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -250,9 +250,11 @@
 	if len(usable) == 0 {
 		return nil
 	}
+	cached := e.affinity.shares(c.prefixes, len(c.body))
 	candidates := make([]damasktrail.Candidate, len(usable))
 	for i, r := range usable {
 		candidates[i] = r.candidate(now)
+		candidates[i].Cached = cached[r.vm.Name]
 	}
 	i, ok := s.policy.Choose(c.request, candidates)
 	if !ok {
@@ -472,6 +474,7 @@
 				return e.broken(err)
 			}
 			r.record(m.Load, now)
+			e.affinity.learn(c.prefixes, r.vm.Name)
 			e.learned.answered(c, r.vm.Name, damasktrail.Usage{Prefill: m.Prefill, Decode: m.Decode}, interval(first, now, chunks), now)
 			if err := out.end(); err != nil {
 				return &damasktrail.Refusal{
--- a/entry/call.go
+++ b/entry/call.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -25,12 +24,6 @@
 	headerRetry      = "X-Should-Retry"
 )
 
-const (
-	// prefixBytes is the start of a prompt that decides which agents may have
-	// its prefill cached.
-	prefixBytes = 1024
-)
-
 // call is one request of a caller. It belongs to the goroutine that serves it.
 type call struct {
 	id           string
@@ -47,6 +40,8 @@
 	bound int
 	// longest is a number of tokens that the answer hardly exceeds.
 	longest int
+	// prefixes are the starts of the prompt by which cached prefill is found.
+	prefixes []prefix
 	// idempotent says that the request may run twice.
 	idempotent bool
 	ticket     string
@@ -172,21 +167,10 @@
 	c.request.Organisation = c.organisation.Name
 	c.request.Model = c.target
 	c.request.Tier = c.tier.Rank
-	c.request.Prefix = digest(c.target, prompt(c.body))
+	c.prefixes = prefixesOf(c.target, c.body)
 	c.request.Fingerprint = digest(c.organisation.Name, c.target, c.path, string(c.body))
 }
 
-// prompt returns the start of the messages or the prompt of a body.
-func prompt(body []byte) string {
-	for _, name := range []string{`"messages"`, `"prompt"`} {
-		if i := bytes.Index(body, []byte(name)); i >= 0 {
-			body = body[i:]
-			break
-		}
-	}
-	return string(body[:min(len(body), prefixBytes)])
-}
-
 func digest(parts ...string) uint64 {
 	h := fnv.New64a()
 	for _, p := range parts {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,10 +67,11 @@
 	serial   atomic.Uint64
 	stopping atomic.Bool
 	// checked is the time of the latest check of links; only that check uses it.
-	checked time.Time
-	gate    *gate
-	limits  *limits
-	learned *learned
+	checked  time.Time
+	gate     *gate
+	limits   *limits
+	learned  *learned
+	affinity *affinity
 }
 
 // TLS holds the settings of an entry's connections.
@@ -111,6 +112,7 @@
 		gate:        newGate(s.Open),
 		limits:      newLimits(),
 		learned:     newLearned(),
+		affinity:    newAffinity(),
 	}
 	return res, nil
 }
--- a/policy/cost.go
+++ b/policy/cost.go
@@ -51,10 +51,18 @@
 		times = append(times, t)
 		best = min(best, t)
 	}
-	sum := 0.0
+	warm := warmest(candidates, times)
+	warmTime, sum := times[warm], 0.0
 	for i, t := range times {
 		age := min(max(0, candidates[i].Age.Seconds()), maxDoubt)
-		w := math.Exp(-(t - best) / (spread*best + doubt*age + 1e-3))
+		narrow := spread*best + 1e-3
+		w := math.Exp(-(t - best) / (narrow + doubt*age))
+		// The prefill that a cache saves is certain, however old the reports are. It
+		// counts as far as the agent with the cache is the better one.
+		missed := float64(r.Cost.Prefill) * (candidates[warm].Cached - candidates[i].Cached) / prefill
+		if missed > 0 && t > warmTime {
+			w *= math.Exp(-min(missed, t-warmTime) / narrow)
+		}
 		times[i] = w
 		sum += w
 	}
@@ -67,6 +75,19 @@
 	return len(times) - 1, true
 }
 
+// warmest returns the candidate with the greatest part of the prompt in its
+// cache, and of several the one with the shortest time.
+func warmest(candidates []damasktrail.Candidate, times []float64) int {
+	res := 0
+	for i := range candidates {
+		a, b := candidates[i].Cached, candidates[res].Cached
+		if a > b || a == b && times[i] < times[res] {
+			res = i
+		}
+	}
+	return res
+}
+
 // speeds returns the mean speeds of the candidates that reported any.
 func speeds(candidates []damasktrail.Candidate) (prefill, decode float64) {
 	known := 0.0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -135,3 +135,36 @@
 	fmt.Println(i, ok)
 	// Output: 1 true
 }
+
+// Guards against a request that leaves the agent with its prefix for another one
+// because the reports are old, and against one that waits for it too long.
+func TestCostPrefersCache(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		prefill int // work ahead at the agent with the cache, in tokens
+		want    [2]float64
+	}{
+		{"idle", 0, [2]float64{0.95, 1}},
+		{"busy for longer than the cache saves", 40000, [2]float64{0, 0.05}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, err := policy.New("cost", 1)
+			require.NoError(t, err)
+			warm := damasktrail.Candidate{Agent: "warm", Cached: 0.9, Age: time.Second}
+			warm.Load.Prefill = tt.prefill
+			candidates := []damasktrail.Candidate{{Agent: "cold", Age: time.Second}, warm, {Agent: "other", Age: time.Second}}
+			chosen := 0
+			const draws = 1000
+			for range draws {
+				i, ok := p.Choose(damasktrail.Request{Cost: damasktrail.Cost{Prefill: 4000, Decode: 10}}, candidates)
+				require.True(t, ok)
+				if i == 1 {
+					chosen++
+				}
+			}
+			share := float64(chosen) / draws
+			require.GreaterOrEqual(t, share, tt.want[0])
+			require.LessOrEqual(t, share, tt.want[1])
+		})
+	}
+}
