Send a heartbeat only on links that were quiet for 10 s

The agent now keeps the time of the latest such frame for each link. The entry takes the generation from ends and refusals and compares it, once for each pair of generations, since a message for each end could fill the queue of the control stream.

An agent checks its links every 500 ms, so a heartbeat comes after at most 10.5 s of silence; an entry asks after 12 s, and every frame counts as heard.

Measured with go test ./agent -run TestHeartbeats -v, in 36 s by a clock that runs 10 times faster: 0 heartbeats instead of 3 on a link with a refusal every 4 s, 3 as before on an idle one (345 bytes in 6 packets, without IP and UDP).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -126,7 +126,7 @@
 	a.clock.Subscribe(tick, func(time.Time) { a.post(a.expire) })
 	a.clock.Subscribe(healthInterval, a.check)
 	a.clock.Subscribe(window, func(time.Time) { a.post((*control).measure) })
-	a.clock.Subscribe(beatInterval, func(time.Time) { a.post(a.beatAll) })
+	a.clock.Subscribe(beatCheck, func(time.Time) { a.post(a.beatDue) })
 	a.clock.Subscribe(orderInterval, func(time.Time) { a.order() })
 	a.log.Info("started", "address", a.listener.Address(), "incarnation", a.incarnation)
 }
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/crc64"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"damasktrail.dev"
@@ -25,8 +26,15 @@
 
 var table = crc64.MakeTable(crc64.ECMA)
 
+// attempt is the stream of one request.
+type attempt struct {
+	*link.Stream
+	// reported is that of the connection, see [entryLink].
+	reported *atomic.Int64
+}
+
 // serveAttempt serves one request from an entry.
-func (a *Agent) serveAttempt(s *link.Stream, first frame.Raw) {
+func (a *Agent) serveAttempt(s *attempt, first frame.Raw) {
 	open, err := frame.Decode[frame.Open](first, frame.KindOpen)
 	if err != nil {
 		a.metrics.Count("protocol_errors", 1)
@@ -143,13 +151,14 @@
 }
 
 // refuse ends an attempt without a whole answer.
-func (a *Agent) refuse(s *link.Stream, r *damasktrail.Refusal) {
+func (a *Agent) refuse(s *attempt, r *damasktrail.Refusal) {
 	tier := ""
 	a.metrics.Refused(r, tier)
 	if err := s.Send(frame.KindRefuse, a.refusal(r)); err != nil {
 		s.Cancel()
 		return
 	}
+	s.reported.Store(a.clock.Now().UnixNano())
 	_ = s.CloseSend()
 }
 
@@ -160,8 +169,8 @@
 }
 
 // relay runs a dispatched request and sends its answer on the stream.
-func (a *Agent) relay(s *link.Stream, w *work, open frame.Open) {
-	out := &streamSink{stream: s}
+func (a *Agent) relay(s *attempt, w *work, open frame.Open) {
+	out := &streamSink{stream: s.Stream}
 	usage, refusal := a.run(s.Context(), w, open, out)
 	if refusal != nil {
 		a.refuse(s, refusal)
@@ -171,7 +180,7 @@
 }
 
 // end completes an answer.
-func (a *Agent) end(s *link.Stream, out *streamSink, usage damasktrail.Usage) {
+func (a *Agent) end(s *attempt, out *streamSink, usage damasktrail.Usage) {
 	err := s.Send(frame.KindEnd, frame.End{
 		Chunks:     out.chunks,
 		Digest:     out.digest,
@@ -184,6 +193,7 @@
 		s.Cancel()
 		return
 	}
+	s.reported.Store(a.clock.Now().UnixNano())
 	_ = s.CloseSend()
 }
 
@@ -310,7 +320,7 @@
 // serveTicket serves a request that runs at most once. The ledger is asked
 // before anything else is decided, because the ticket may have been used in an
 // earlier attempt; barred is why a fresh request may not wait, or nil.
-func (a *Agent) serveTicket(s *link.Stream, open frame.Open, barred *damasktrail.Refusal) {
+func (a *Agent) serveTicket(s *attempt, open frame.Open, barred *damasktrail.Refusal) {
 	type begun struct {
 		state   ticket.State
 		refusal *damasktrail.Refusal
@@ -341,7 +351,7 @@
 		s.Cancel()
 		return
 	}
-	out := &streamSink{stream: s}
+	out := &streamSink{stream: s.Stream}
 	switch {
 	case b.refusal != nil:
 		a.refuse(s, b.refusal)
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"damasktrail.dev"
@@ -16,6 +17,9 @@
 const (
 	// beatInterval is that of heartbeats; see the arithmetic in docs/design.md.
 	beatInterval = 10 * time.Second
+	// beatCheck is the interval of the check for links that need a heartbeat. A
+	// heartbeat is at most that late; entries allow for 2 s.
+	beatCheck = 500 * time.Millisecond
 	// outbox bounds the control messages that wait for one entry. An entry that
 	// reads nothing loses its connection.
 	outbox = 64
@@ -26,6 +30,9 @@
 	conn   *link.Conn
 	stream *link.Stream
 	out    chan message
+	// reported is the time of the latest frame on any stream of the connection
+	// that carried the load and the generation, in Unix nanoseconds.
+	reported *atomic.Int64
 }
 
 type message struct {
@@ -55,6 +62,7 @@
 
 func (a *Agent) serveConn(conn *link.Conn) {
 	defer conn.Close("done")
+	reported := &atomic.Int64{}
 	streams := group.New(conn.Context())
 	defer streams.Wait()
 	for {
@@ -62,12 +70,12 @@
 		if err != nil {
 			return
 		}
-		streams.Go(func(context.Context) { a.serveStream(conn, s) })
+		streams.Go(func(context.Context) { a.serveStream(conn, s, reported) })
 	}
 }
 
 // serveStream tells attempts from the control stream by their first frame.
-func (a *Agent) serveStream(conn *link.Conn, s *link.Stream) {
+func (a *Agent) serveStream(conn *link.Conn, s *link.Stream, reported *atomic.Int64) {
 	first, err := s.Receive()
 	if err != nil {
 		s.Cancel()
@@ -75,16 +83,16 @@
 	}
 	switch first.Kind {
 	case frame.KindOpen:
-		a.serveAttempt(s, first)
+		a.serveAttempt(&attempt{Stream: s, reported: reported}, first)
 	case frame.KindHello:
-		a.serveControl(conn, s, first)
+		a.serveControl(conn, s, first, reported)
 	default:
 		a.metrics.Count("protocol_errors", 1)
 		s.Cancel()
 	}
 }
 
-func (a *Agent) serveControl(conn *link.Conn, s *link.Stream, first frame.Raw) {
+func (a *Agent) serveControl(conn *link.Conn, s *link.Stream, first frame.Raw, reported *atomic.Int64) {
 	hello, err := frame.Decode[frame.Hello](first, frame.KindHello)
 	if err != nil || hello.Name != conn.Peer().Name {
 		a.metrics.Count("protocol_errors", 1)
@@ -92,7 +100,7 @@
 		conn.Close("hello is not valid")
 		return
 	}
-	e := &entryLink{conn: conn, stream: s, out: make(chan message, outbox)}
+	e := &entryLink{conn: conn, stream: s, out: make(chan message, outbox), reported: reported}
 	e.send(frame.KindHello, frame.Hello{
 		Name: a.settings.Name, Incarnation: a.incarnation, Generation: a.rollout.Generation(),
 	})
@@ -208,6 +216,16 @@
 	}
 }
 
+// beatDue sends a heartbeat to the entries that were sent nothing with the load
+// and the generation for the interval of heartbeats.
+func (a *Agent) beatDue(c *control, now time.Time) {
+	for e := range a.entries {
+		if now.Sub(time.Unix(0, e.reported.Load())) >= beatInterval {
+			a.beat(e, c, now)
+		}
+	}
+}
+
 // beatAll sends a heartbeat to all entries.
 func (a *Agent) beatAll(c *control, now time.Time) {
 	for e := range a.entries {
@@ -216,6 +234,7 @@
 }
 
 func (a *Agent) beat(e *entryLink, c *control, now time.Time) {
+	e.reported.Store(now.UnixNano())
 	e.send(frame.KindBeat, frame.Beat{
 		Generation: a.rollout.Generation(),
 		Load:       c.load(),
--- /dev/null
+++ b/agent/link_test.go
@@ -0,0 +1,155 @@
+package agent_test
+
+import (
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev"
+	"damasktrail.dev/agent"
+	"damasktrail.dev/certificate"
+	"damasktrail.dev/engine"
+	"damasktrail.dev/frame"
+	"damasktrail.dev/group"
+	"damasktrail.dev/link"
+	"damasktrail.dev/set"
+	"damasktrail.dev/standin"
+	"damasktrail.dev/telemetry"
+	"damasktrail.dev/timer"
+)
+
+// fastClock runs faster than the real one, so that heartbeats take less time.
+type fastClock struct {
+	damasktrail.Clock
+	start time.Time
+	speed time.Duration
+}
+
+func (c *fastClock) Now() time.Time {
+	return c.start.Add(c.Clock.Now().Sub(c.start) * c.speed)
+}
+
+func (c *fastClock) Subscribe(interval time.Duration, f func(now time.Time)) (cancel func()) {
+	return c.Clock.Subscribe(interval/c.speed, func(time.Time) { f(c.Now()) })
+}
+
+// stage is an agent to which tests dial as entries do.
+type stage struct {
+	t         *testing.T
+	tasks     *group.Group
+	agent     *agent.Agent
+	authority *certificate.Authority
+}
+
+func newStage(t *testing.T, speed time.Duration) *stage {
+	t.Helper()
+	tasks := group.New(t.Context())
+	t.Cleanup(tasks.Close)
+	clock := &fastClock{Clock: timer.New(tasks), start: time.Now(), speed: speed}
+	authority, err := certificate.NewAuthority("test", time.Hour)
+	require.NoError(t, err)
+	s := &stage{t: t, tasks: tasks, authority: authority}
+	e := standin.NewEndpoint(standin.EndpointOptions{Clock: clock.Clock})
+	t.Cleanup(e.Close)
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(server.Close)
+	m, err := telemetry.New("agent")
+	require.NoError(t, err)
+	s.agent, err = agent.New(agent.Settings{
+		Name: "agent", Domain: "be-a", Set: "jurying", Listen: "127.0.0.1:0", Inflight: 64, Waiting: 64, Tokens: 1000, Ticket: time.Minute,
+	}, s.files(certificate.RoleAgent, "agent").ServerConfig(set.Of(certificate.RoleEntry)),
+		engine.New(server.URL, nil, clock, engine.Settings{}), clock, tasks, m, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.agent.Close() })
+	s.agent.Start()
+	// A change of health is sent to all entries at once.
+	healthy := func() bool { return s.agent.Status().(agent.Status).Load.Limit > 0 }
+	require.Eventually(t, healthy, 5*time.Second, time.Millisecond)
+	return s
+}
+
+func (s *stage) files(role certificate.Role, name string) *certificate.Files {
+	pair, err := s.authority.Issue(role, name, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour)
+	require.NoError(s.t, err)
+	own, err := pair.TLS()
+	require.NoError(s.t, err)
+	res, err := certificate.New(s.authority.Pool(), own)
+	require.NoError(s.t, err)
+	return res
+}
+
+// dialler stands for an entry. It records the frames of its control stream.
+type dialler struct {
+	conn    *link.Conn
+	control *link.Stream
+
+	mu       sync.Mutex
+	received []frame.Raw
+}
+
+func (s *stage) dial(name string, generation uint64) *dialler {
+	d := link.NewDialer("127.0.0.1", s.files(certificate.RoleEntry, name).ClientConfig(certificate.RoleAgent))
+	s.t.Cleanup(d.Close)
+	conn, err := d.Dial(s.t.Context(), s.agent.Address(), false)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { conn.Close("done") })
+	control, err := conn.Open(s.t.Context())
+	require.NoError(s.t, err)
+	require.NoError(s.t, control.Send(frame.KindHello, frame.Hello{Name: name, Incarnation: "1", Generation: generation}))
+	res := &dialler{conn: conn, control: control}
+	go func() {
+		for {
+			raw, err := control.Receive()
+			if err != nil {
+				return
+			}
+			res.mu.Lock()
+			res.received = append(res.received, raw)
+			res.mu.Unlock()
+		}
+	}()
+	return res
+}
+
+// frames returns the frames of a kind that arrived on the control stream.
+func (d *dialler) frames(kind frame.Kind) (res []frame.Raw) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, raw := range d.received {
+		if raw.Kind == kind {
+			res = append(res, raw)
+		}
+	}
+	return res
+}
+
+// Guards against heartbeats on links whose answers carry the load already, which
+// exceed the entry's limit on control bytes, and against links without any.
+func TestHeartbeats(t *testing.T) {
+	const speed = 10
+	s := newStage(t, speed)
+	busy, idle := s.dial("busy", 0), s.dial("idle", 0)
+	first := func() bool { return len(busy.frames(frame.KindBeat)) == 1 && len(idle.frames(frame.KindBeat)) == 1 }
+	require.Eventually(t, first, 5*time.Second, time.Millisecond)
+	before := idle.conn.Traffic()
+	const interval, tries = 4 * time.Second / speed, 9
+	for range tries {
+		stream, err := busy.conn.Open(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, stream.Send(frame.KindOpen, frame.Open{ID: "a", Model: "jury", Deadline: 1000}))
+		raw, err := stream.Receive()
+		require.NoError(t, err)
+		require.Equal(t, frame.KindRefuse, raw.Kind) // The agent has no document.
+		time.Sleep(interval)
+	}
+	after := idle.conn.Traffic()
+	t.Logf("in %s: %d beats on the busy link, %d on the idle one with %d bytes in %d packets", tries*interval*speed,
+		len(busy.frames(frame.KindBeat))-1, len(idle.frames(frame.KindBeat))-1, after.Bytes-before.Bytes, after.Packets-before.Packets)
+	require.Len(t, busy.frames(frame.KindBeat), 1, "each refusal carries the load")
+	require.GreaterOrEqual(t, len(idle.frames(frame.KindBeat)), 3+1)
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -471,6 +471,7 @@
 				return e.broken(err)
 			}
 			r.record(m.Load, now)
+			e.heed(live, m.Generation)
 			e.learned.answered(c, r.vm.Name, damasktrail.Usage{Prefill: m.Prefill, Decode: m.Decode}, interval(first, now, chunks), now)
 			if err := out.end(); err != nil {
 				return &damasktrail.Refusal{
@@ -484,6 +485,7 @@
 				return e.broken(err)
 			}
 			r.record(m.Load, now)
+			e.heed(live, m.Generation)
 			// A stale request is refused before its ticket is looked at.
 			c.confirmed = m.Outcome == damasktrail.NotRun && m.Reason != damasktrail.ReasonStale
 			return m.Refusal()
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -79,6 +79,8 @@
 	// tickets maps the ids of Issue messages to those who wait for the answer.
 	tickets map[uint64]chan frame.Ticket
 	next    uint64
+	// heeded are the own and the peer's generation at the latest end of an attempt.
+	heeded [2]uint64
 }
 
 type message struct {
@@ -331,6 +333,21 @@
 	}
 }
 
+// heed compares the generation that the end of an attempt carries. Many attempts
+// can end before the answer to the first has arrived, so it acts once on each
+// pair of generations: a message for each could fill the queue of the control
+// stream, which closes the connection.
+func (e *Entry) heed(s *session, generation uint64) {
+	pair := [2]uint64{e.rollout.Generation(), generation}
+	s.mu.Lock()
+	acted := s.heeded == pair
+	s.heeded = pair
+	s.mu.Unlock()
+	if !acted && pair[0] != pair[1] {
+		e.compare(s, frame.TopicDocument, generation)
+	}
+}
+
 // receiveRollout passes a message to the rollout and sends its answers.
 func (e *Entry) receiveRollout(s *session, raw frame.Raw) {
 	answers, err := e.rollout.Receive(raw)
