Name the versions of the capacity stage's differences

The receiver ignores a change that leads to no newer version, so a change without versions would never come into force and the stage would wait until it fails.

--- a/capacity/stage.go
+++ b/capacity/stage.go
@@ -278,7 +278,7 @@
 			return res, 0, err
 		}
 		size = len(data)
-		changes[i] = frame.Change{Topic: frame.TopicDocument, Differences: [][]byte{data}}
+		changes[i] = frame.Change{Topic: frame.TopicDocument, From: from.Generation, To: to.Generation, Differences: [][]byte{data}}
 		next[i], from = to, to
 	}
 	res, err = s.During(func() error {
