Send no difference to a peer that has its generation

A session now keeps the highest generation that its peer announced, and news goes only to the others. A beat is still compared each time, so a lost message is repaired as before.

Measured with go test ./entry -run AnnounceToOthers, three peers of which one sent the difference and one announced its generation: 1 change sent instead of 3.

--- a/entry/announce_test.go
+++ b/entry/announce_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"fmt"
 	"log/slog"
 	"testing"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"damasktrail.dev/document"
+	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
 	"damasktrail.dev/member"
 	"damasktrail.dev/rollout"
@@ -15,28 +17,79 @@
 	"damasktrail.dev/timer"
 )
 
-// TestAnnounceEveryDocument guards against a document that is not announced
-// because another event was ready at the same time.
-func TestAnnounceEveryDocument(t *testing.T) {
+// newUnlinked returns an entry without links, whose control goroutine does not run.
+func newUnlinked(t *testing.T) *Entry {
+	t.Helper()
 	tasks := group.New(t.Context())
-	defer tasks.Close()
+	t.Cleanup(tasks.Close)
 	m, err := telemetry.New("entry")
 	require.NoError(t, err)
 	documents, members := document.NewHolder(), member.NewHolder()
-	e := &Entry{
+	return &Entry{
 		clock: timer.New(tasks), metrics: m, log: slog.New(slog.DiscardHandler), tasks: tasks,
 		documents: documents, members: members, rollout: rollout.New(documents, members, m.Count),
 		events: make(chan func(*control), events), learned: newLearned(),
 	}
-	tasks.Go(e.own)
+}
+
+func parse(t *testing.T, generation uint64, deadline string) *document.Document {
+	t.Helper()
+	res, err := document.Parse([]byte(fmt.Sprintf(
+		`{"generation": %d, "tiers": [{"name": "only", "rank": 0, "deadline": %q}]}`, generation, deadline)))
+	require.NoError(t, err)
+	return res
+}
+
+// Guards against a difference that returns to the peer that sent it or goes to
+// one that has it, and against one that is kept from a peer that lacks it.
+func TestAnnounceToOthers(t *testing.T) {
+	e := newUnlinked(t)
+	first, second := parse(t, 1, "1s"), parse(t, 2, "2s")
+	_, err := e.documents.Offer(first)
+	require.NoError(t, err)
+	c := newControl(e)
+	c.announce()
+	sessions := map[string]*session{}
+	for _, name := range []string{"sender", "informed", "other"} {
+		sessions[name] = &session{name: name, out: make(chan message, outbox)}
+		p := &peer{}
+		p.session.Store(sessions[name])
+		c.peers[name] = p
+		r := &remote{}
+		r.session.Store(&session{name: "agent of " + name, out: make(chan message, outbox)})
+		c.agents[name] = r
+	}
+	c.agents["informed"].session.Load().announced(2)
+	e.hear(sessions["informed"], frame.Beat{Generation: 2}, e.clock.Now())
+	require.Equal(t, frame.KindPull, (<-sessions["informed"].out).kind)
+	data, err := document.EncodeDifference(document.Compare(first, second))
+	require.NoError(t, err)
+	encoded, err := frame.Append(nil, frame.KindChange, frame.Change{Topic: frame.TopicDocument, From: 1, To: 2, Differences: [][]byte{data}})
+	require.NoError(t, err)
+	raw, err := frame.Read(bytes.NewReader(encoded))
+	require.NoError(t, err)
+	e.receiveRollout(sessions["sender"], raw)
+	c.announce()
+	got := map[string]int{}
+	for name, s := range sessions {
+		got[name] = len(s.out)
+	}
+	require.Equal(t, map[string]int{"sender": 0, "informed": 0, "other": 1}, got)
+	require.Empty(t, c.agents["informed"].session.Load().out)
+	require.Len(t, c.agents["other"].session.Load().out, 1)
+}
+
+// TestAnnounceEveryDocument guards against a document that is not announced
+// because another event was ready at the same time.
+func TestAnnounceEveryDocument(t *testing.T) {
+	e := newUnlinked(t)
+	e.tasks.Go(e.own)
 	for generation := uint64(1); generation <= 200; generation++ {
-		d, err := document.Parse([]byte(fmt.Sprintf(
-			`{"generation": %d, "tiers": [{"name": "only", "rank": 0, "deadline": "1s"}]}`, generation)))
-		require.NoError(t, err)
+		d := parse(t, generation, "1s")
 		for range 3 {
 			e.post(func(*control) {})
 		}
-		_, err = documents.Offer(d)
+		_, err := e.documents.Offer(d)
 		require.NoError(t, err)
 		for range 3 {
 			e.post(func(*control) {})
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -195,8 +195,9 @@
 }
 
 // announce sends a new document to peers and to the agents that this entry is
-// ranked first for; agents of the next ranks get its generation. It does
-// nothing when the document in force was announced before.
+// ranked first for; agents of the next ranks get its generation. Those that
+// announced the generation themselves get nothing. It does nothing when the
+// document in force was announced before.
 func (c *control) announce() {
 	d := c.e.documents.Load()
 	if d == nil || d.Generation == c.announced {
@@ -207,7 +208,7 @@
 	c.announced = d.Generation
 	news := c.e.rollout.Since(frame.TopicDocument, previous)
 	for _, p := range c.peers {
-		if s := p.session.Load(); s != nil {
+		if s := p.session.Load(); s != nil && s.known.Load() < d.Generation {
 			for _, m := range news {
 				s.send(m.Kind, m.Body)
 			}
@@ -217,7 +218,7 @@
 	for _, r := range c.agents {
 		s := r.session.Load()
 		switch {
-		case s == nil:
+		case s == nil || s.known.Load() >= d.Generation:
 		case r.rank == 0:
 			for _, m := range news {
 				s.send(m.Kind, m.Body)
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -75,6 +75,10 @@
 	// silent is set before the connection is closed because nothing arrives.
 	silent atomic.Bool
 
+	// known is the highest generation that the peer announced, by a hello, beat,
+	// change or end. The generation of a peer never falls.
+	known atomic.Uint64
+
 	mu sync.Mutex
 	// tickets maps the ids of Issue messages to those who wait for the answer.
 	tickets map[uint64]chan frame.Ticket
@@ -234,6 +238,7 @@
 		out:         make(chan message, outbox),
 		tickets:     map[uint64]chan frame.Ticket{},
 	}
+	s.announced(h.Generation)
 	now := e.clock.Now().UnixNano()
 	s.heard.Store(now)
 	s.quiet.Store(now)
@@ -318,8 +323,19 @@
 	}
 }
 
+// announced records a generation that the peer has.
+func (s *session) announced(generation uint64) {
+	for {
+		held := s.known.Load()
+		if generation <= held || s.known.CompareAndSwap(held, generation) {
+			return
+		}
+	}
+}
+
 // hear takes what every beat carries.
 func (e *Entry) hear(s *session, b frame.Beat, now time.Time) {
+	s.announced(b.Generation)
 	e.compare(s, frame.TopicDocument, b.Generation)
 	if len(b.Suspects) > 0 || len(b.Floors) > 0 {
 		e.post(func(c *control) { c.hear(b.Suspects, b.Floors, now) })
@@ -338,6 +354,7 @@
 // pair of generations: a message for each could fill the queue of the control
 // stream, which closes the connection.
 func (e *Entry) heed(s *session, generation uint64) {
+	s.announced(generation)
 	pair := [2]uint64{e.rollout.Generation(), generation}
 	s.mu.Lock()
 	acted := s.heeded == pair
@@ -350,6 +367,13 @@
 
 // receiveRollout passes a message to the rollout and sends its answers.
 func (e *Entry) receiveRollout(s *session, raw frame.Raw) {
+	if raw.Kind == frame.KindChange {
+		// Before the document comes into force, which announces it to all others. A
+		// frame that cannot be decoded is refused below.
+		if m, err := frame.Decode[frame.Change](raw, frame.KindChange); err == nil && m.Topic == frame.TopicDocument {
+			s.announced(m.To)
+		}
+	}
 	answers, err := e.rollout.Receive(raw)
 	if err != nil {
 		e.metrics.Count("protocol_errors", 1)
