Ask one entry for the first document of an agent

Each of 12 entries sent the whole document of up to 1 MB to a new agent, because all saw generation 0 in its hello, and the agent asked all of them as well. An entry now sends nothing unasked for generation 0. The agent asks the first entry that announces a generation, another one after 0.5 s without a document, and after the first document the entry with the highest announced generation for the rest. Requests that arrive before the document no longer ask all entries either.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -169,6 +169,9 @@
 
 func (a *Agent) expire(c *control, now time.Time) {
 	c.expire(now)
+	if a.rollout.Generation() == 0 {
+		a.seek(now)
+	}
 	if c.drained(now) {
 		select {
 		case <-a.drained:
@@ -198,7 +201,10 @@
 		changed := a.documents.Changed()
 		if d := a.documents.Load(); d != nil {
 			a.log.Info("document in force", "generation", d.Generation)
-			a.post(func(c *control, _ time.Time) { c.adopt(d) })
+			a.post(func(c *control, now time.Time) {
+				c.adopt(d)
+				a.seek(now)
+			})
 			a.order()
 		}
 		select {
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -133,8 +133,12 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	a.post(func(*control, time.Time) {
+		from := a.documents.Generation()
+		if from == 0 {
+			return // The first document is on the way, see seek.
+		}
 		for e := range a.entries {
-			e.send(frame.KindPull, frame.Pull{Topic: frame.TopicDocument, From: a.documents.Generation()})
+			e.send(frame.KindPull, frame.Pull{Topic: frame.TopicDocument, From: from})
 		}
 	})
 	for {
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -20,6 +20,9 @@
 	// beatCheck is the interval of the check for links that need a heartbeat. A
 	// heartbeat is at most that late; entries allow for 2 s.
 	beatCheck = 500 * time.Millisecond
+	// firstWait is how long one entry is given to send the first document before
+	// another is asked.
+	firstWait = 500 * time.Millisecond
 	// outbox bounds the control messages that wait for one entry. An entry that
 	// reads nothing loses its connection.
 	outbox = 64
@@ -33,6 +36,12 @@
 	// reported is the time of the latest frame on any stream of the connection
 	// that carried the load and the generation, in Unix nanoseconds.
 	reported *atomic.Int64
+
+	// The rest belongs to the control goroutine. announced is the highest
+	// generation that the entry announced while the agent had no document, asked
+	// the time at which the agent asked it for the first document.
+	announced uint64
+	asked     time.Time
 }
 
 type message struct {
@@ -140,13 +149,44 @@
 	}
 }
 
-// reply compares generations with a peer.
+// reply compares generations with an entry. The first document is asked for at
+// one entry after the other, since it travels whole.
 func (a *Agent) reply(e *entryLink, generation uint64) {
+	if a.rollout.Generation() == 0 {
+		a.post(func(_ *control, now time.Time) {
+			e.announced = max(e.announced, generation)
+			a.seek(now)
+		})
+		return
+	}
 	for _, m := range a.rollout.Compare(frame.TopicDocument, generation) {
 		e.send(m.Kind, m.Body)
 	}
 }
 
+// seek asks an entry that announced a newer generation: for the first document
+// when none was asked within firstWait, and once a document is in force for what
+// leads to the highest generation that was announced before. It runs on the
+// control goroutine.
+func (a *Agent) seek(now time.Time) {
+	own := a.rollout.Generation()
+	var next *entryLink
+	for e := range a.entries {
+		switch {
+		case e.announced <= own:
+		case own == 0 && now.Sub(e.asked) < firstWait:
+			return
+		case next == nil || own == 0 && e.asked.Before(next.asked),
+			(own > 0 || e.asked.Equal(next.asked)) && e.announced > next.announced:
+			next = e
+		}
+	}
+	if next != nil {
+		next.asked = now
+		next.send(frame.KindPull, frame.Pull{Topic: frame.TopicDocument, From: own})
+	}
+}
+
 func (a *Agent) receive(e *entryLink, raw frame.Raw) error {
 	switch raw.Kind {
 	case frame.KindBeat:
--- a/agent/link_test.go
+++ b/agent/link_test.go
@@ -1,9 +1,11 @@
 package agent_test
 
 import (
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/agent"
 	"damasktrail.dev/certificate"
+	"damasktrail.dev/document"
 	"damasktrail.dev/engine"
 	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
@@ -153,3 +156,53 @@
 	require.Len(t, busy.frames(frame.KindBeat), 1, "each refusal carries the load")
 	require.GreaterOrEqual(t, len(idle.frames(frame.KindBeat)), 3+1)
 }
+
+// Guards against a whole document from each entry of a new agent, against a
+// first document that never comes because one entry does not answer, and against
+// an agent that stays at the generation of the entry that answered.
+func TestFirstDocument(t *testing.T) {
+	s := newStage(t, 1)
+	sample, err := os.ReadFile("../samples/jury.json")
+	require.NoError(t, err)
+	d, err := document.Parse(sample)
+	require.NoError(t, err)
+	var entries []*dialler
+	for i := range 12 {
+		generation := d.Generation
+		if i == 5 {
+			generation++
+		}
+		entries = append(entries, s.dial(fmt.Sprintf("entry-%d", i), generation))
+	}
+	start := time.Now()
+	pulls := func() (from []int) {
+		for i, e := range entries {
+			for range e.frames(frame.KindPull) {
+				from = append(from, i)
+			}
+		}
+		return from
+	}
+	time.Sleep(300 * time.Millisecond)
+	first := pulls()
+	require.Len(t, first, 1)
+	require.Eventually(t, func() bool { return len(pulls()) == 2 }, 2*time.Second, time.Millisecond)
+	t.Logf("second pull after %s", time.Since(start))
+	second := pulls()
+	require.NotEqual(t, second[0], second[1], "the silent entry is not asked again at once")
+	// The entry with the higher generation is asked for the rest by the agent.
+	require.NoError(t, entries[first[0]].control.Send(frame.KindWhole, frame.Whole{Topic: frame.TopicDocument, Data: sample}))
+	rest := func() bool {
+		for _, raw := range entries[5].frames(frame.KindPull) {
+			p, err := frame.Decode[frame.Pull](raw, frame.KindPull)
+			if err == nil && p.From == d.Generation {
+				return true
+			}
+		}
+		return false
+	}
+	require.Eventually(t, rest, 2*time.Second, time.Millisecond)
+	time.Sleep(2 * 500 * time.Millisecond)
+	t.Logf("pulls of 12 entries: %v", pulls())
+	require.Len(t, pulls(), 3)
+}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -189,6 +189,7 @@
 			return err
 		}
 		e.contacted(now.Add(-time.Duration(b.Age) * time.Millisecond))
+		e.compare(s, frame.TopicDocument, b.Generation)
 		e.hear(s, b, now)
 		e.compare(s, frame.TopicVMs, b.Members)
 	}
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -269,7 +269,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close("not in the subset") })
 	defer stop()
 	tasks.Go(s.write)
-	e.compare(s, frame.TopicDocument, hello.Generation)
+	e.compareAgent(s, hello.Generation)
 	r.leaving.Store(false)
 	r.session.Store(s)
 	defer r.session.Store(nil)
@@ -308,6 +308,7 @@
 			}
 			r.record(b.Load, now)
 			r.leaving.Store(b.Leaving)
+			e.compareAgent(s, b.Generation)
 			e.hear(s, b, now)
 		case frame.KindLeave:
 			r.leaving.Store(true)
@@ -336,12 +337,19 @@
 // hear takes what every beat carries.
 func (e *Entry) hear(s *session, b frame.Beat, now time.Time) {
 	s.announced(b.Generation)
-	e.compare(s, frame.TopicDocument, b.Generation)
 	if len(b.Suspects) > 0 || len(b.Floors) > 0 {
 		e.post(func(c *control) { c.hear(b.Suspects, b.Floors, now) })
 	}
 }
 
+// compareAgent answers an agent that holds a generation. One without a document
+// is sent none unasked, since it asks one of its entries for the whole document.
+func (e *Entry) compareAgent(s *session, generation uint64) {
+	if generation > 0 {
+		e.compare(s, frame.TopicDocument, generation)
+	}
+}
+
 // compare answers a peer that holds a version of a value.
 func (e *Entry) compare(s *session, t frame.Topic, version uint64) {
 	for _, m := range e.rollout.Compare(t, version) {
@@ -361,7 +369,7 @@
 	s.heeded = pair
 	s.mu.Unlock()
 	if !acted && pair[0] != pair[1] {
-		e.compare(s, frame.TopicDocument, generation)
+		e.compareAgent(s, generation)
 	}
 }
 
