--- a/capacity/stage.go
+++ b/capacity/stage.go
@@ -284,7 +284,10 @@
 	res, err = s.During(func() error {
 		for i, c := range changes {
 			s.document = next[i]
-			if err := s.Fleet.Send(len(s.Fleet.peers)-1, frame.KindChange, c); err != nil {
+			sender := len(s.Fleet.peers) - 1
+			// An entry does not send the change back.
+			s.Fleet.peers[sender].generation.Store(c.To)
+			if err := s.Fleet.Send(sender, frame.KindChange, c); err != nil {
 				return err
 			}
 			if err := s.await(s.adopted); err != nil {
