--- a/capacity/peer.go
+++ b/capacity/peer.go
@@ -26,8 +26,8 @@
 
 var loopback = []net.IP{net.IPv4(127, 0, 0, 1)}
 
-// Peer stands for the other side of a link: it answers the hello and records
-// what it is sent, and sends only what it is told to.
+// Peer stands for the other side of a link: it answers the hello and a beat that
+// asks for one, records what it is sent, and else sends only what it is told to.
 type Peer struct {
 	vm       member.VM
 	listener *link.Listener
@@ -163,6 +163,14 @@
 		}
 		p.received[raw.Kind&15].Add(1)
 		p.bytes[raw.Kind&15].Add(int64(len(raw.Body)))
+		if raw.Kind == frame.KindBeat {
+			// An entry closes a link to an agent that does not answer.
+			if m, err := frame.Decode[frame.Beat](raw, frame.KindBeat); err == nil && m.Reply {
+				answer := frame.Beat{Generation: p.generation.Load()}
+				answer.Load.Limit = 16
+				_ = stream.Send(frame.KindBeat, answer)
+			}
+		}
 		if raw.Kind == frame.KindChange {
 			if m, err := frame.Decode[frame.Change](raw, frame.KindChange); err == nil {
 				p.generation.Store(max(p.generation.Load(), m.To))
