--- a/agent/agent.go
+++ b/agent/agent.go
@@ -126,7 +126,7 @@
 	a.clock.Subscribe(tick, func(time.Time) { a.post(a.expire) })
 	a.clock.Subscribe(healthInterval, a.check)
 	a.clock.Subscribe(window, func(time.Time) { a.post((*control).measure) })
-	a.clock.Subscribe(beatInterval, func(time.Time) { a.post(a.beatAll) })
+	a.clock.Subscribe(beatCheck, func(time.Time) { a.post(a.beatDue) })
 	a.clock.Subscribe(orderInterval, func(time.Time) { a.order() })
 	a.log.Info("started", "address", a.listener.Address(), "incarnation", a.incarnation)
 }
@@ -169,6 +169,9 @@
 
 func (a *Agent) expire(c *control, now time.Time) {
 	c.expire(now)
+	if a.rollout.Generation() == 0 {
+		a.seek(now)
+	}
 	if c.drained(now) {
 		select {
 		case <-a.drained:
@@ -198,7 +201,10 @@
 		changed := a.documents.Changed()
 		if d := a.documents.Load(); d != nil {
 			a.log.Info("document in force", "generation", d.Generation)
-			a.post(func(c *control, _ time.Time) { c.adopt(d) })
+			a.post(func(c *control, now time.Time) {
+				c.adopt(d)
+				a.seek(now)
+			})
 			a.order()
 		}
 		select {
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"damasktrail.dev"
@@ -16,6 +17,12 @@
 const (
 	// beatInterval is that of heartbeats; see the arithmetic in docs/design.md.
 	beatInterval = 10 * time.Second
+	// beatCheck is the interval of the check for links that need a heartbeat. A
+	// heartbeat is at most that late; entries allow for 2 s.
+	beatCheck = 500 * time.Millisecond
+	// firstWait is how long one entry is given to send the first document before
+	// another is asked.
+	firstWait = 500 * time.Millisecond
 	// outbox bounds the control messages that wait for one entry. An entry that
 	// reads nothing loses its connection.
 	outbox = 64
@@ -26,6 +33,15 @@
 	conn   *link.Conn
 	stream *link.Stream
 	out    chan message
+	// reported is the time of the latest frame on any stream of the connection
+	// that carried the load and the generation, in Unix nanoseconds.
+	reported *atomic.Int64
+
+	// The rest belongs to the control goroutine. announced is the highest
+	// generation that the entry announced while the agent had no document, asked
+	// the time at which the agent asked it for the first document.
+	announced uint64
+	asked     time.Time
 }
 
 type message struct {
@@ -55,6 +71,7 @@
 
 func (a *Agent) serveConn(conn *link.Conn) {
 	defer conn.Close("done")
+	reported := &atomic.Int64{}
 	streams := group.New(conn.Context())
 	defer streams.Wait()
 	for {
@@ -62,12 +79,12 @@
 		if err != nil {
 			return
 		}
-		streams.Go(func(context.Context) { a.serveStream(conn, s) })
+		streams.Go(func(context.Context) { a.serveStream(conn, s, reported) })
 	}
 }
 
 // serveStream tells attempts from the control stream by their first frame.
-func (a *Agent) serveStream(conn *link.Conn, s *link.Stream) {
+func (a *Agent) serveStream(conn *link.Conn, s *link.Stream, reported *atomic.Int64) {
 	first, err := s.Receive()
 	if err != nil {
 		s.Cancel()
@@ -75,16 +92,16 @@
 	}
 	switch first.Kind {
 	case frame.KindOpen:
-		a.serveAttempt(s, first)
+		a.serveAttempt(&attempt{Stream: s, reported: reported}, first)
 	case frame.KindHello:
-		a.serveControl(conn, s, first)
+		a.serveControl(conn, s, first, reported)
 	default:
 		a.metrics.Count("protocol_errors", 1)
 		s.Cancel()
 	}
 }
 
-func (a *Agent) serveControl(conn *link.Conn, s *link.Stream, first frame.Raw) {
+func (a *Agent) serveControl(conn *link.Conn, s *link.Stream, first frame.Raw, reported *atomic.Int64) {
 	hello, err := frame.Decode[frame.Hello](first, frame.KindHello)
 	if err != nil || hello.Name != conn.Peer().Name {
 		a.metrics.Count("protocol_errors", 1)
@@ -92,7 +109,7 @@
 		conn.Close("hello is not valid")
 		return
 	}
-	e := &entryLink{conn: conn, stream: s, out: make(chan message, outbox)}
+	e := &entryLink{conn: conn, stream: s, out: make(chan message, outbox), reported: reported}
 	e.send(frame.KindHello, frame.Hello{
 		Name: a.settings.Name, Incarnation: a.incarnation, Generation: a.rollout.Generation(),
 	})
@@ -132,13 +149,44 @@
 	}
 }
 
-// reply compares generations with a peer.
+// reply compares generations with an entry. The first document is asked for at
+// one entry after the other, since it travels whole.
 func (a *Agent) reply(e *entryLink, generation uint64) {
+	if a.rollout.Generation() == 0 {
+		a.post(func(_ *control, now time.Time) {
+			e.announced = max(e.announced, generation)
+			a.seek(now)
+		})
+		return
+	}
 	for _, m := range a.rollout.Compare(frame.TopicDocument, generation) {
 		e.send(m.Kind, m.Body)
 	}
 }
 
+// seek asks an entry that announced a newer generation: for the first document
+// when none was asked within firstWait, and once a document is in force for what
+// leads to the highest generation that was announced before. It runs on the
+// control goroutine.
+func (a *Agent) seek(now time.Time) {
+	own := a.rollout.Generation()
+	var next *entryLink
+	for e := range a.entries {
+		switch {
+		case e.announced <= own:
+		case own == 0 && now.Sub(e.asked) < firstWait:
+			return
+		case next == nil || own == 0 && e.asked.Before(next.asked),
+			(own > 0 || e.asked.Equal(next.asked)) && e.announced > next.announced:
+			next = e
+		}
+	}
+	if next != nil {
+		next.asked = now
+		next.send(frame.KindPull, frame.Pull{Topic: frame.TopicDocument, From: own})
+	}
+}
+
 func (a *Agent) receive(e *entryLink, raw frame.Raw) error {
 	switch raw.Kind {
 	case frame.KindBeat:
@@ -208,6 +256,16 @@
 	}
 }
 
+// beatDue sends a heartbeat to the entries that were sent nothing with the load
+// and the generation for the interval of heartbeats.
+func (a *Agent) beatDue(c *control, now time.Time) {
+	for e := range a.entries {
+		if now.Sub(time.Unix(0, e.reported.Load())) >= beatInterval {
+			a.beat(e, c, now)
+		}
+	}
+}
+
 // beatAll sends a heartbeat to all entries.
 func (a *Agent) beatAll(c *control, now time.Time) {
 	for e := range a.entries {
@@ -216,6 +274,7 @@
 }
 
 func (a *Agent) beat(e *entryLink, c *control, now time.Time) {
+	e.reported.Store(now.UnixNano())
 	e.send(frame.KindBeat, frame.Beat{
 		Generation: a.rollout.Generation(),
 		Load:       c.load(),
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -75,10 +75,16 @@
 	// silent is set before the connection is closed because nothing arrives.
 	silent atomic.Bool
 
+	// known is the highest generation that the peer announced, by a hello, beat,
+	// change or end. The generation of a peer never falls.
+	known atomic.Uint64
+
 	mu sync.Mutex
 	// tickets maps the ids of Issue messages to those who wait for the answer.
 	tickets map[uint64]chan frame.Ticket
 	next    uint64
+	// heeded are the own and the peer's generation at the latest end of an attempt.
+	heeded [2]uint64
 }
 
 type message struct {
@@ -232,6 +238,7 @@
 		out:         make(chan message, outbox),
 		tickets:     map[uint64]chan frame.Ticket{},
 	}
+	s.announced(h.Generation)
 	now := e.clock.Now().UnixNano()
 	s.heard.Store(now)
 	s.quiet.Store(now)
@@ -262,7 +269,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close("not in the subset") })
 	defer stop()
 	tasks.Go(s.write)
-	e.compare(s, frame.TopicDocument, hello.Generation)
+	e.compareAgent(s, hello.Generation)
 	r.leaving.Store(false)
 	r.session.Store(s)
 	defer r.session.Store(nil)
@@ -301,6 +308,7 @@
 			}
 			r.record(b.Load, now)
 			r.leaving.Store(b.Leaving)
+			e.compareAgent(s, b.Generation)
 			e.hear(s, b, now)
 		case frame.KindLeave:
 			r.leaving.Store(true)
@@ -316,14 +324,32 @@
 	}
 }
 
+// announced records a generation that the peer has.
+func (s *session) announced(generation uint64) {
+	for {
+		held := s.known.Load()
+		if generation <= held || s.known.CompareAndSwap(held, generation) {
+			return
+		}
+	}
+}
+
 // hear takes what every beat carries.
 func (e *Entry) hear(s *session, b frame.Beat, now time.Time) {
-	e.compare(s, frame.TopicDocument, b.Generation)
+	s.announced(b.Generation)
 	if len(b.Suspects) > 0 || len(b.Floors) > 0 {
 		e.post(func(c *control) { c.hear(b.Suspects, b.Floors, now) })
 	}
 }
 
+// compareAgent answers an agent that holds a generation. One without a document
+// is sent none unasked, since it asks one of its entries for the whole document.
+func (e *Entry) compareAgent(s *session, generation uint64) {
+	if generation > 0 {
+		e.compare(s, frame.TopicDocument, generation)
+	}
+}
+
 // compare answers a peer that holds a version of a value.
 func (e *Entry) compare(s *session, t frame.Topic, version uint64) {
 	for _, m := range e.rollout.Compare(t, version) {
@@ -331,8 +357,31 @@
 	}
 }
 
+// heed compares the generation that the end of an attempt carries. Many attempts
+// can end before the answer to the first has arrived, so it acts once on each
+// pair of generations: a message for each could fill the queue of the control
+// stream, which closes the connection.
+func (e *Entry) heed(s *session, generation uint64) {
+	s.announced(generation)
+	pair := [2]uint64{e.rollout.Generation(), generation}
+	s.mu.Lock()
+	acted := s.heeded == pair
+	s.heeded = pair
+	s.mu.Unlock()
+	if !acted && pair[0] != pair[1] {
+		e.compareAgent(s, generation)
+	}
+}
+
 // receiveRollout passes a message to the rollout and sends its answers.
 func (e *Entry) receiveRollout(s *session, raw frame.Raw) {
+	if raw.Kind == frame.KindChange {
+		// Before the document comes into force, which announces it to all others. A
+		// frame that cannot be decoded is refused below.
+		if m, err := frame.Decode[frame.Change](raw, frame.KindChange); err == nil && m.Topic == frame.TopicDocument {
+			s.announced(m.To)
+		}
+	}
 	answers, err := e.rollout.Receive(raw)
 	if err != nil {
 		e.metrics.Count("protocol_errors", 1)
