Read frames through a buffer and decode chunks directly

Cause: each frame took two reads of its stream, two allocations and a decoding by reflection, once per token.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -452,7 +452,7 @@
 			headed = true
 			out.begin(h)
 		case frame.KindChunk:
-			m, err := frame.Decode[frame.Chunk](raw, frame.KindChunk)
+			m, err := frame.DecodeChunk(raw)
 			if err != nil || !headed || m.Position != chunks {
 				return e.broken(err)
 			}
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -109,11 +109,21 @@
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Raw{}, err
 	}
+	return readBody(r, header, nil)
+}
+
+// readBody reads the body that header announces into buffer, or into new memory
+// when buffer is too small.
+func readBody(r io.Reader, header [headerSize]byte, buffer []byte) (res Raw, err error) {
 	size := binary.BigEndian.Uint32(header[:4])
 	if size > MaxSize {
 		return Raw{}, &SizeError{Size: uint64(size)}
 	}
-	body := make([]byte, size)
+	body := buffer[:0]
+	if int(size) > cap(body) {
+		body = make([]byte, size)
+	}
+	body = body[:size]
 	if _, err := io.ReadFull(r, body); err != nil {
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
--- a/frame/size_test.go
+++ b/frame/size_test.go
@@ -56,15 +56,16 @@
 func BenchmarkReceiveChunk(b *testing.B) {
 	data, err := frame.Append(nil, frame.KindChunk, chunk)
 	require.NoError(b, err)
-	r := bytes.NewReader(data)
+	source := bytes.NewReader(data)
+	r := frame.NewReader(source)
 	b.ReportAllocs()
 	for b.Loop() {
-		r.Reset(data)
-		raw, err := frame.Read(r)
+		source.Reset(data)
+		raw, err := r.Read()
 		if err != nil {
 			b.Fatal(err)
 		}
-		if _, err := frame.Decode[frame.Chunk](raw, frame.KindChunk); err != nil {
+		if _, err := frame.DecodeChunk(raw); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open stream to %s: %w", c.peer.Name, err)
 	}
-	return &Stream{quic: q}, nil
+	return newStream(q), nil
 }
 
 // Accept waits for a stream that the peer opened.
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("accept stream from %s: %w", c.peer.Name, err)
 	}
-	return &Stream{quic: q}, nil
+	return newStream(q), nil
 }
 
 // Traffic counts what a connection sent and received, including what was sent
@@ -129,6 +129,12 @@
 	mu   sync.Mutex
 	// buffer is reused for encoding; mu guards it.
 	buffer []byte
+	// reader belongs to the goroutine that receives.
+	reader *frame.Reader
+}
+
+func newStream(q *quic.Stream) *Stream {
+	return &Stream{quic: q, reader: frame.NewReader(q)}
 }
 
 // Send writes one frame.
@@ -144,8 +150,15 @@
 }
 
 // Receive reads one frame. It returns [io.EOF] when the peer finished its side.
+// The body of a chunk is valid until the next call.
 func (s *Stream) Receive() (frame.Raw, error) {
-	return frame.Read(s.quic)
+	return s.reader.Read()
+}
+
+// Ready reports whether Receive would return the next frame without waiting. It
+// belongs to the goroutine that receives.
+func (s *Stream) Ready() bool {
+	return s.reader.Ready()
 }
 
 // Context ends when the peer stops reading, the stream is closed for sending or
