Write tokens that arrived together at once

Cause: each chunk took one write to its caller and moved the write deadline, also when further chunks of the stream were already received. Change: while the next frame is buffered as a whole, its stream's data stays in the buffer of the connection; a token that is alone is flushed as before, and an answer that is cut is flushed before its error. The deadline moves at most once per second, so a caller that reads nothing is given up after 29 to 30 s. Conclusion: kept for streams with a backlog, where it bounds the number of system calls; no gain on an even stream is claimed.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -460,7 +460,7 @@
 				first = now
 			}
 			sum = crc64.Update(sum, table, m.Data)
-			if err := out.data(m.Data); err != nil {
+			if err := out.data(m.Data, stream.Ready(), now); err != nil {
 				return &damasktrail.Refusal{
 					Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.Unknown, Detail: "the caller is gone",
 				}
--- a/entry/output.go
+++ b/entry/output.go
@@ -20,6 +20,10 @@
 // holds a place inside the endpoint for that time.
 const writeTimeout = 30 * time.Second
 
+// deadlineInterval is how often the write deadline is moved, at most. A caller
+// that reads nothing is given up between writeTimeout less this and writeTimeout.
+const deadlineInterval = time.Second
+
 // output writes one answer to the caller. Nothing is written before the first
 // data, so that a request can still be retried while its prompt is processed.
 type output struct {
@@ -30,6 +34,8 @@
 	buffer bytes.Buffer
 	// written is true once the status was sent.
 	written bool
+	// timed is when the write deadline was last moved.
+	timed time.Time
 }
 
 func newOutput(w http.ResponseWriter, stream bool, p *pass) *output {
@@ -51,8 +57,10 @@
 	o.head = h
 }
 
-// data takes a part of the answer.
-func (o *output) data(b []byte) error {
+// data takes a part of the answer, received at now. When more is true another frame
+// follows without waiting, and a streamed part may stay in the buffer of the
+// connection until that one, which writes it or ends the answer.
+func (o *output) data(b []byte, more bool, now time.Time) error {
 	if o.buffer.Len() == 0 && !o.written {
 		o.pass.begun()
 	}
@@ -60,8 +68,11 @@
 		o.buffer.Write(b)
 		return nil
 	}
-	// Not every ResponseWriter has deadlines; those of net/http have.
-	_ = http.NewResponseController(o.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	if now.Sub(o.timed) >= deadlineInterval {
+		o.timed = now
+		// Not every ResponseWriter has deadlines; those of net/http have.
+		_ = http.NewResponseController(o.w).SetWriteDeadline(now.Add(writeTimeout))
+	}
 	if !o.written {
 		o.writeHead()
 		if _, err := o.w.Write(o.buffer.Bytes()); err != nil {
@@ -72,7 +83,7 @@
 	if _, err := o.w.Write(b); err != nil {
 		return err
 	}
-	if f, ok := o.w.(http.Flusher); ok && o.stream {
+	if f, ok := o.w.(http.Flusher); ok && o.stream && !more {
 		f.Flush()
 	}
 	return nil
--- /dev/null
+++ b/entry/output_test.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev"
+	"damasktrail.dev/frame"
+)
+
+// flushes records what reaches the caller at each flush, and the deadlines.
+type flushes struct {
+	http.ResponseWriter
+	buffer    string
+	sent      []string
+	deadlines []time.Time
+}
+
+func (f *flushes) Write(b []byte) (int, error) {
+	f.buffer += string(b)
+	return len(b), nil
+}
+
+func (f *flushes) Flush() {
+	f.sent = append(f.sent, f.buffer)
+	f.buffer = ""
+}
+
+func (f *flushes) SetWriteDeadline(t time.Time) error {
+	f.deadlines = append(f.deadlines, t)
+	return nil
+}
+
+func newPass(t *testing.T) *pass {
+	t.Helper()
+	_, res := newGate(1).enter(t.Context(), 0)
+	require.NotNil(t, res)
+	t.Cleanup(res.leave)
+	return res
+}
+
+// TestOutputFlush guards against a token that waits for a later one, and against
+// one flush for each of several that arrived together.
+func TestOutputFlush(t *testing.T) {
+	w := &flushes{ResponseWriter: httptest.NewRecorder()}
+	out := newOutput(w, true, newPass(t))
+	out.begin(frame.Head{Status: http.StatusOK})
+	now := time.Unix(1000, 0)
+	for _, part := range []struct {
+		data string
+		more bool
+	}{{"a", false}, {"b", true}, {"c", true}, {"d", false}} {
+		require.NoError(t, out.data([]byte(part.data), part.more, now))
+	}
+	require.Equal(t, []string{"a", "bcd"}, w.sent)
+	require.Empty(t, w.buffer)
+}
+
+// TestOutputDeadline guards against a caller that reads slowly but is cut off
+// early, and against a deadline that is set for each token.
+func TestOutputDeadline(t *testing.T) {
+	w := &flushes{ResponseWriter: httptest.NewRecorder()}
+	out := newOutput(w, true, newPass(t))
+	out.begin(frame.Head{Status: http.StatusOK})
+	start := time.Unix(1000, 0)
+	for d := time.Duration(0); d < 10*time.Second; d += 10 * time.Millisecond {
+		now := start.Add(d)
+		require.NoError(t, out.data([]byte("x"), false, now))
+		left := w.deadlines[len(w.deadlines)-1].Sub(now)
+		require.LessOrEqual(t, left, writeTimeout)
+		require.Greater(t, left, writeTimeout-deadlineInterval)
+	}
+	require.Len(t, w.deadlines, 10)
+}
+
+// TestOutputAbort guards against a cut answer that loses a part that was not
+// flushed yet, or that looks whole.
+func TestOutputAbort(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		out := newOutput(w, true, newPass(t))
+		out.begin(frame.Head{Status: http.StatusOK, Type: "text/event-stream"})
+		if out.data([]byte("data: 1\n\n"), true, time.Now()) == nil {
+			out.abort(&damasktrail.Refusal{Reason: damasktrail.ReasonLost})
+		}
+	}))
+	defer s.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL, http.NoBody)
+	require.NoError(t, err)
+	res, err := s.Client().Do(req)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	require.Error(t, err, "the connection breaks off")
+	require.Regexp(t, `^data: 1\n\ndata: \{.*\}\n\n$`, string(body))
+}
--- a/frame/reader.go
+++ b/frame/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"io"
 )
 
@@ -28,7 +29,7 @@
 func (r *Reader) Read() (res Raw, err error) {
 	peeked, err := r.buffer.Peek(headerSize)
 	if err != nil {
-		if err == io.EOF && len(peeked) > 0 {
+		if errors.Is(err, io.EOF) && len(peeked) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
 		return Raw{}, err
