Measure writes of tokens that arrived together

Cause: the whole path sends few tokens of a stream together, so it does not show what writing them at once saves. Change: a benchmark writes tokens over a connection on loopback, alone and eight at a time.

--- a/entry/output_test.go
+++ b/entry/output_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +101,34 @@
 	require.Error(t, err, "the connection breaks off")
 	require.Regexp(t, `^data: 1\n\ndata: \{.*\}\n\n$`, string(body))
 }
+
+// BenchmarkOutput writes tokens to a caller on loopback, alone and eight at a
+// time.
+func BenchmarkOutput(b *testing.B) {
+	token := []byte("data: " + strings.Repeat("x", 200) + "\n\n")
+	for _, together := range []int{1, 8} {
+		b.Run(fmt.Sprintf("together-%d", together), func(b *testing.B) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, p := newGate(1).enter(context.Background(), 0)
+				defer p.leave()
+				out := newOutput(w, true, p)
+				out.begin(frame.Head{Status: http.StatusOK})
+				for i := range b.N {
+					if out.data(token, i%together != together-1, time.Now()) != nil {
+						return
+					}
+				}
+			}))
+			defer s.Close()
+			b.ResetTimer()
+			req, err := http.NewRequestWithContext(b.Context(), http.MethodGet, s.URL, http.NoBody)
+			require.NoError(b, err)
+			res, err := s.Client().Do(req)
+			require.NoError(b, err)
+			defer func() { _ = res.Body.Close() }()
+			n, err := io.Copy(io.Discard, res.Body)
+			require.NoError(b, err)
+			require.Equal(b, int64(b.N*len(token)), n)
+		})
+	}
+}
