--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -455,7 +455,7 @@
 			headed = true
 			out.begin(h)
 		case frame.KindChunk:
-			m, err := frame.Decode[frame.Chunk](raw, frame.KindChunk)
+			m, err := frame.DecodeChunk(raw)
 			if err != nil || !headed || m.Position != chunks {
 				return e.broken(err)
 			}
@@ -463,7 +463,7 @@
 				first = now
 			}
 			sum = crc64.Update(sum, table, m.Data)
-			if err := out.data(m.Data); err != nil {
+			if err := out.data(m.Data, stream.Ready(), now); err != nil {
 				return &damasktrail.Refusal{
 					Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.Unknown, Detail: "the caller is gone",
 				}
