--- a/agent/agent.go
+++ b/agent/agent.go
@@ -120,7 +120,7 @@
 
 // Start begins to serve. It returns at once.
 func (a *Agent) Start() {
-	a.tasks.Go(a.own)
+	a.tasks.Go(a.runControl)
 	a.tasks.Go(a.accept)
 	a.tasks.Go(a.follow)
 	a.clock.Subscribe(tick, func(time.Time) { a.post(a.expire) })
@@ -149,8 +149,8 @@
 	}
 }
 
-// own is the control goroutine.
-func (a *Agent) own(ctx context.Context) {
+// runControl is the control goroutine.
+func (a *Agent) runControl(ctx context.Context) {
 	for {
 		select {
 		case f := <-a.events:
@@ -170,7 +170,7 @@
 func (a *Agent) expire(c *control, now time.Time) {
 	c.expire(now)
 	if a.rollout.Generation() == 0 {
-		a.seek(now)
+		a.requestDocument(now)
 	}
 	if c.drained(now) {
 		select {
@@ -203,7 +203,7 @@
 			a.log.Info("document in force", "generation", d.Generation)
 			a.post(func(c *control, now time.Time) {
 				c.adopt(d)
-				a.seek(now)
+				a.requestDocument(now)
 			})
 			a.order()
 		}
--- a/agent/control.go
+++ b/agent/control.go
@@ -327,12 +327,12 @@
 // which send it elsewhere. Requests with a ticket can run only here and stay.
 func (c *control) down(now time.Time) {
 	c.healthy = false
-	c.giveBack(now)
+	c.returnWaiting(now)
 }
 
-// giveBack refuses waiting requests without a ticket for the reason for which
+// returnWaiting refuses waiting requests without a ticket for the reason for which
 // new ones are refused.
-func (c *control) giveBack(now time.Time) {
+func (c *control) returnWaiting(now time.Time) {
 	for _, it := range c.waiting.Drain() {
 		c.refuse(it.Value, c.admissible(it.Value, -1, now), now)
 	}
@@ -386,13 +386,16 @@
 	c.held = kept
 	c.suspects.Expire(now)
 	if c.closed(true, now) {
-		c.dismiss(now)
+		c.refuseTickets(now)
 	}
+	// Admission depends on the time that pending prefill takes, so room can appear
+	// without any other event.
+	c.dispatch(now)
 }
 
-// dismiss ends the wait of requests with a ticket once a leaving endpoint may
+// refuseTickets ends the wait of requests with a ticket once a leaving endpoint may
 // get no new work. Their tickets are burned.
-func (c *control) dismiss(now time.Time) {
+func (c *control) refuseTickets(now time.Time) {
 	for _, w := range c.held {
 		c.refuse(w.work, leavingRefusal(), now)
 	}
@@ -420,7 +423,7 @@
 		return
 	}
 	c.left = now
-	c.giveBack(now)
+	c.returnWaiting(now)
 }
 
 // drained reports whether a leaving agent has nothing left to run.
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -155,7 +155,7 @@
 	if a.rollout.Generation() == 0 {
 		a.post(func(_ *control, now time.Time) {
 			e.announced = max(e.announced, generation)
-			a.seek(now)
+			a.requestDocument(now)
 		})
 		return
 	}
@@ -164,11 +164,11 @@
 	}
 }
 
-// seek asks an entry that announced a newer generation: for the first document
+// requestDocument asks an entry that announced a newer generation: for the first document
 // when none was asked within firstWait, and once a document is in force for what
 // leads to the highest generation that was announced before. It runs on the
 // control goroutine.
-func (a *Agent) seek(now time.Time) {
+func (a *Agent) requestDocument(now time.Time) {
 	own := a.rollout.Generation()
 	var next *entryLink
 	for e := range a.entries {
--- a/entry/announce_test.go
+++ b/entry/announce_test.go
@@ -60,7 +60,7 @@
 		c.agents[name] = r
 	}
 	c.agents["informed"].session.Load().announced(2)
-	e.hear(sessions["informed"], frame.Beat{Generation: 2}, e.clock.Now())
+	e.handleBeat(sessions["informed"], frame.Beat{Generation: 2}, e.clock.Now())
 	data, err := document.EncodeDifference(document.Compare(first, second))
 	require.NoError(t, err)
 	encoded, err := frame.Append(nil, frame.KindChange, frame.Change{Topic: frame.TopicDocument, From: 1, To: 2, Differences: [][]byte{data}})
@@ -82,7 +82,7 @@
 // because another event was ready at the same time.
 func TestAnnounceEveryDocument(t *testing.T) {
 	e := newUnlinked(t)
-	e.tasks.Go(e.own)
+	e.tasks.Go(e.runControl)
 	for generation := uint64(1); generation <= 200; generation++ {
 		d := parse(t, generation, "1s")
 		for range 3 {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -71,7 +71,7 @@
 		}
 		r := e.choose(s, c, p.excluded)
 		if r == nil {
-			if e.reopen(ctx, s, c, p) || e.relinked(ctx, s, c, p) {
+			if e.retryAboveFloor(ctx, s, c, p) || e.awaitLink(ctx, s, c, p) {
 				continue
 			}
 			return settle(noRoom(p.last), p.uncertain)
@@ -82,17 +82,17 @@
 			return nil
 		}
 		if out.started() || ctx.Err() != nil {
-			return e.ended(ctx, p.last, p.uncertain)
+			return e.finalRefusal(ctx, p.last, p.uncertain)
 		}
-		if !e.again(ctx, c, r, p) {
+		if !e.mayRetry(ctx, c, r, p) {
 			return settle(p.last, p.uncertain)
 		}
 		e.metrics.Retried(p.last.Reason)
 	}
 }
 
-// again reports whether another attempt is allowed after one at r failed.
-func (e *Entry) again(ctx context.Context, c *call, r *remote, p *progress) bool {
+// mayRetry reports whether another attempt is allowed after one at r failed.
+func (e *Entry) mayRetry(ctx context.Context, c *call, r *remote, p *progress) bool {
 	if p.last.Outcome == damasktrail.Unknown {
 		p.uncertain = true
 		p.excluded[r.vm.Name] = true
@@ -128,9 +128,9 @@
 	return true
 }
 
-// reopen raises the floor when all agents were full, and allows one more round
+// retryAboveFloor raises the floor when all agents were full, and allows one more round
 // over those that confirmed not to have run the request.
-func (e *Entry) reopen(ctx context.Context, s *snapshot, c *call, p *progress) bool {
+func (e *Entry) retryAboveFloor(ctx context.Context, s *snapshot, c *call, p *progress) bool {
 	if p.raised || p.uncertain || !p.full {
 		return false
 	}
@@ -143,9 +143,9 @@
 	return true
 }
 
-// relinked waits for a link when no agent that may serve the request has one. It
+// awaitLink waits for a link when no agent that may serve the request has one. It
 // reports whether another round makes sense.
-func (e *Entry) relinked(ctx context.Context, s *snapshot, c *call, p *progress) bool {
+func (e *Entry) awaitLink(ctx context.Context, s *snapshot, c *call, p *progress) bool {
 	if p.waited {
 		return false
 	}
@@ -187,9 +187,9 @@
 	return r
 }
 
-// ended returns the refusal of a request whose context ended or whose answer
+// finalRefusal returns the refusal of a request whose context ended or whose answer
 // was cut.
-func (e *Entry) ended(ctx context.Context, r *damasktrail.Refusal, uncertain bool) *damasktrail.Refusal {
+func (e *Entry) finalRefusal(ctx context.Context, r *damasktrail.Refusal, uncertain bool) *damasktrail.Refusal {
 	var cause *damasktrail.Refusal
 	if errors.As(context.Cause(ctx), &cause) {
 		return cause
@@ -271,7 +271,7 @@
 	}
 	f := []frame.Floor{{Model: c.target, Tier: c.tier.Rank}}
 	now := e.clock.Now()
-	e.post(func(ctl *control) { ctl.hear(nil, f, now) })
+	e.post(func(ctl *control) { ctl.merge(nil, f, now) })
 	wait := min(floorWait, c.left(now)/2)
 	return wait > 0 && e.clock.Sleep(ctx, wait) == nil
 }
@@ -325,7 +325,7 @@
 			return nil
 		}
 		if out.started() || ctx.Err() != nil || refusal.Reason != damasktrail.ReasonStale {
-			return e.ended(ctx, refusal, false)
+			return e.finalRefusal(ctx, refusal, false)
 		}
 		if tries >= staleTries {
 			return refusal
@@ -475,7 +475,7 @@
 			}
 			r.record(m.Load, now)
 			e.affinity.learn(c.prefixes, r.vm.Name)
-			e.heed(live, m.Generation)
+			e.noteGeneration(live, m.Generation)
 			e.learned.answered(c, r.vm.Name, damasktrail.Usage{Prefill: m.Prefill, Decode: m.Decode}, interval(first, now, chunks), now)
 			if err := out.end(); err != nil {
 				return &damasktrail.Refusal{
@@ -489,7 +489,7 @@
 				return e.broken(err)
 			}
 			r.record(m.Load, now)
-			e.heed(live, m.Generation)
+			e.noteGeneration(live, m.Generation)
 			// A stale request is refused before its ticket is looked at.
 			c.confirmed = m.Outcome == damasktrail.NotRun && m.Reason != damasktrail.ReasonStale
 			return m.Refusal()
--- a/entry/control.go
+++ b/entry/control.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// own is the control goroutine.
-func (e *Entry) own(ctx context.Context) {
+// runControl is the control goroutine.
+func (e *Entry) runControl(ctx context.Context) {
 	c := newControl(e)
 	for {
 		documents, members := e.documents.Changed(), e.members.Changed()
@@ -253,7 +253,7 @@
 	ctx, stop := context.WithCancel(c.e.tasks.Context())
 	r := &remote{vm: vm, target: targetOf(d, vm), stop: stop}
 	c.agents[vm.Name] = r
-	c.e.tasks.Go(func(context.Context) { c.e.keep(ctx, r) })
+	c.e.tasks.Go(func(context.Context) { c.e.maintainLink(ctx, r) })
 }
 
 // targetOf returns what callers name to reach the agent; empty when callers
@@ -311,8 +311,8 @@
 	c.e.snapshot.Store(s)
 }
 
-// hear takes suspects and floors from agents and peers and passes news on.
-func (c *control) hear(suspects []frame.Suspect, floors []frame.Floor, now time.Time) {
+// merge takes suspects and floors from agents and peers and passes news on.
+func (c *control) merge(suspects []frame.Suspect, floors []frame.Floor, now time.Time) {
 	news := c.suspects.Merge(suspects, now)
 	var raised []frame.Floor
 	for _, f := range floors {
@@ -322,7 +322,7 @@
 	}
 	if len(news) > 0 || len(raised) > 0 {
 		c.changed = true
-		c.spread(news, raised)
+		c.broadcast(news, raised)
 	}
 }
 
@@ -337,8 +337,8 @@
 	return true
 }
 
-// spread sends news to all peers and agents.
-func (c *control) spread(suspects []frame.Suspect, floors []frame.Floor) {
+// broadcast sends news to all peers and agents.
+func (c *control) broadcast(suspects []frame.Suspect, floors []frame.Floor) {
 	b := c.e.beat()
 	b.Suspects, b.Floors = suspects, floors
 	for _, p := range c.peers {
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -183,16 +183,16 @@
 		return last != before
 	}
 	require.False(t, published(now))
-	c.hear(nil, []frame.Floor{{Model: "m1", Tier: 1}}, now)
+	c.merge(nil, []frame.Floor{{Model: "m1", Tier: 1}}, now)
 	require.True(t, published(now))
 	require.Equal(t, map[string]int{"m1": 1}, last.floors)
-	c.hear(nil, []frame.Floor{{Model: "m1", Tier: 2}}, now)
+	c.merge(nil, []frame.Floor{{Model: "m1", Tier: 2}}, now)
 	require.False(t, published(now), "the floor that holds is higher")
 	require.True(t, published(now.Add(floorLife+1)))
 	require.Empty(t, last.floors)
 
 	for crash := range uint64(2) {
-		c.hear([]frame.Suspect{{Fingerprint: 7, Crashes: []uint64{crash}}}, nil, now)
+		c.merge([]frame.Suspect{{Fingerprint: 7, Crashes: []uint64{crash}}}, nil, now)
 		require.True(t, published(now))
 	}
 	require.Contains(t, last.poisoned, uint64(7))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,7 +119,7 @@
 
 // Start begins to read the platform and to connect. It returns at once.
 func (e *Entry) Start() {
-	e.tasks.Go(e.own)
+	e.tasks.Go(e.runControl)
 	e.tasks.Go(e.acceptPeers)
 	e.tasks.Go(func(ctx context.Context) { e.watch(ctx, frame.TopicDocument, e.source.Document, e.rollout.Generation) })
 	e.tasks.Go(func(ctx context.Context) { e.watch(ctx, frame.TopicVMs, e.source.VMs, e.rollout.Members) })
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -87,13 +87,13 @@
 		ctx, stop := context.WithCancel(c.e.tasks.Context())
 		p := &peer{vm: vm, stop: stop}
 		c.peers[name] = p
-		c.e.tasks.Go(func(context.Context) { c.e.keepPeer(ctx, p) })
+		c.e.tasks.Go(func(context.Context) { c.e.maintainPeer(ctx, p) })
 	}
 	c.e.expected.Store(int64(len(wanted)))
 }
 
-// keepPeer holds a link to another entry until ctx ends.
-func (e *Entry) keepPeer(ctx context.Context, p *peer) {
+// maintainPeer holds a link to another entry until ctx ends.
+func (e *Entry) maintainPeer(ctx context.Context, p *peer) {
 	e.redial(ctx, p.vm.Address, e.entries, func(conn *link.Conn) error {
 		s, hello, err := e.open(ctx, conn)
 		if err != nil {
@@ -190,7 +190,7 @@
 		}
 		e.contacted(now.Add(-time.Duration(b.Age) * time.Millisecond))
 		e.compare(s, frame.TopicDocument, b.Generation)
-		e.hear(s, b, now)
+		e.handleBeat(s, b, now)
 		e.compare(s, frame.TopicVMs, b.Members)
 	}
 }
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -73,8 +73,8 @@
 	return age > staleAfter+min(time.Duration(rank)*staleStep, staleMax)
 }
 
-// contactedSelf records a successful read by this entry.
-func (e *Entry) contactedSelf(topic frame.Topic) {
+// recordRead records a successful read by this entry.
+func (e *Entry) recordRead(topic frame.Topic) {
 	e.contacted(e.clock.Now())
 	if topic == frame.TopicDocument {
 		e.read.Store(true)
@@ -100,11 +100,11 @@
 				e.log.Error("published value refused", "topic", topic, "version", value.Version, "error", err)
 				break // The same value would be read again at once.
 			}
-			e.contactedSelf(topic)
+			e.recordRead(topic)
 			pause = failMin
 			continue
 		case errors.Is(err, damasktrail.ErrUnchanged):
-			e.contactedSelf(topic)
+			e.recordRead(topic)
 			pause = failMin
 			continue
 		default:
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -162,8 +162,8 @@
 	return res
 }
 
-// keep holds a connection to an agent until ctx ends.
-func (e *Entry) keep(ctx context.Context, r *remote) {
+// maintainLink holds a connection to an agent until ctx ends.
+func (e *Entry) maintainLink(ctx context.Context, r *remote) {
 	e.redial(ctx, r.vm.Address, e.agents, func(conn *link.Conn) error {
 		r.failures.Store(0)
 		return e.serveAgent(ctx, r, conn)
@@ -309,7 +309,7 @@
 			r.record(b.Load, now)
 			r.leaving.Store(b.Leaving)
 			e.compareAgent(s, b.Generation)
-			e.hear(s, b, now)
+			e.handleBeat(s, b, now)
 		case frame.KindLeave:
 			r.leaving.Store(true)
 		case frame.KindTicket:
@@ -334,11 +334,11 @@
 	}
 }
 
-// hear takes what every beat carries.
-func (e *Entry) hear(s *session, b frame.Beat, now time.Time) {
+// handleBeat takes what every beat carries.
+func (e *Entry) handleBeat(s *session, b frame.Beat, now time.Time) {
 	s.announced(b.Generation)
 	if len(b.Suspects) > 0 || len(b.Floors) > 0 {
-		e.post(func(c *control) { c.hear(b.Suspects, b.Floors, now) })
+		e.post(func(c *control) { c.merge(b.Suspects, b.Floors, now) })
 	}
 }
 
@@ -357,11 +357,11 @@
 	}
 }
 
-// heed compares the generation that the end of an attempt carries. Many attempts
+// noteGeneration compares the generation that the end of an attempt carries. Many attempts
 // can end before the answer to the first has arrived, so it acts once on each
 // pair of generations: a message for each could fill the queue of the control
 // stream, which closes the connection.
-func (e *Entry) heed(s *session, generation uint64) {
+func (e *Entry) noteGeneration(s *session, generation uint64) {
 	s.announced(generation)
 	pair := [2]uint64{e.rollout.Generation(), generation}
 	s.mu.Lock()
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -183,6 +183,12 @@
 	Service string `json:"service"`
 }
 
+// ticketAnswer is a ticket and its remaining life in milliseconds.
+type ticketAnswer struct {
+	Ticket  string `json:"ticket"`
+	Expires int64  `json:"expires"`
+}
+
 // handleTicket issues a ticket through an agent.
 func (e *Entry) handleTicket(g *gin.Context) {
 	s, c, refusal := e.begin(g)
@@ -204,7 +210,7 @@
 		e.refuse(g.Writer, c, refusal)
 		return
 	}
-	g.JSON(http.StatusOK, gin.H{"ticket": t.Ticket, "expires": t.Expires})
+	g.JSON(http.StatusOK, t)
 }
 
 // issue asks the chosen agent, and others when it does not give a ticket.
--- a/policy/cost.go
+++ b/policy/cost.go
@@ -51,17 +51,17 @@
 		times = append(times, t)
 		best = min(best, t)
 	}
-	warm := warmest(candidates, times)
-	warmTime, sum := times[warm], 0.0
+	cached := mostCached(candidates, times)
+	cachedTime, sum := times[cached], 0.0
 	for i, t := range times {
 		age := min(max(0, candidates[i].Age.Seconds()), maxDoubt)
 		narrow := spread*best + 1e-3
 		w := math.Exp(-(t - best) / (narrow + doubt*age))
 		// The prefill that a cache saves is certain, however old the reports are. It
 		// counts as far as the agent with the cache is the better one.
-		missed := float64(r.Cost.Prefill) * (candidates[warm].Cached - candidates[i].Cached) / prefill
-		if missed > 0 && t > warmTime {
-			w *= math.Exp(-min(missed, t-warmTime) / narrow)
+		missed := float64(r.Cost.Prefill) * (candidates[cached].Cached - candidates[i].Cached) / prefill
+		if missed > 0 && t > cachedTime {
+			w *= math.Exp(-min(missed, t-cachedTime) / narrow)
 		}
 		times[i] = w
 		sum += w
@@ -75,9 +75,9 @@
 	return len(times) - 1, true
 }
 
-// warmest returns the candidate with the greatest part of the prompt in its
+// mostCached returns the candidate with the greatest part of the prompt in its
 // cache, and of several the one with the shortest time.
-func warmest(candidates []damasktrail.Candidate, times []float64) int {
+func mostCached(candidates []damasktrail.Candidate, times []float64) int {
 	res := 0
 	for i := range candidates {
 		a, b := candidates[i].Cached, candidates[res].Cached
