Return the typed ticket answer

Cause: the linter reported the type as unused; the function still had its anonymous struct. Change: it returns the type.

--- a/entry/routes.go
+++ b/entry/routes.go
@@ -214,10 +214,7 @@
 }
 
 // issue asks the chosen agent, and others when it does not give a ticket.
-func (e *Entry) issue(ctx context.Context, c *call) (res struct {
-	Ticket  string
-	Expires int64
-}, refusal *damasktrail.Refusal,
+func (e *Entry) issue(ctx context.Context, c *call) (res ticketAnswer, refusal *damasktrail.Refusal,
 ) {
 	excluded := map[string]bool{}
 	for {
