Remove two fields that nothing reads

Cause: found in the read-through: Request.Prefix was replaced by the entry's own prefixes, and the agent counted crashes for a log line that does not exist. Change: both go; no behaviour changes.

--- a/agent/control.go
+++ b/agent/control.go
@@ -75,8 +75,6 @@
 	missed int
 	// left is when the agent began to leave; zero before.
 	left time.Time
-	// crashed counts runs that ended in a crash, for the log.
-	crashed int
 }
 
 type heldWork struct {
@@ -299,7 +297,6 @@
 // crashedWith records that the endpoint crashed while it ran the request. It
 // returns the news for the entries.
 func (c *control) crashedWith(w *work, now time.Time) []frame.Suspect {
-	c.crashed++
 	defer c.down(now)
 	if !c.suspects.Add(w.request.Fingerprint, c.crash, now) {
 		return nil
--- a/policy.go
+++ b/policy.go
@@ -20,9 +20,6 @@
 	Cost Cost
 	// Deadline is the time left until the answer is useless.
 	Deadline time.Duration
-	// Prefix is a digest of the start of the prompt; requests with an equal
-	// prefix can share cached prefill. Zero means none.
-	Prefix uint64
 	// Fingerprint is a digest of organisation, model and body.
 	Fingerprint uint64
 }
