Serve plain requests on the users' platform through a gateway

Cause: nothing of the product started on the platform; its requests name a host and a path, not a model, and no process of ours may keep or write state. Change: cmd/gateway sends requests straight to endpoints, without agents. routing, fleet, catalog, dispatch, quota, exchange and upstream are its parts; platform holds the names on the wire. The client of the product's own configuration service moves from platform to source. Ruled out: agents beside the replicas, since a second process that can be killed or cut off then stands between a caller and a replica that is well.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -18,8 +18,8 @@
 	"damasktrail.dev/certificate"
 	"damasktrail.dev/entry"
 	"damasktrail.dev/group"
-	"damasktrail.dev/platform"
 	"damasktrail.dev/set"
+	"damasktrail.dev/source"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/timer"
 )
@@ -69,7 +69,7 @@
 }
 
 func newSource(s entry.Settings) damasktrail.Source {
-	return platform.New(s.Platform, http.DefaultClient).WithWait(watch)
+	return source.New(s.Platform, http.DefaultClient).WithWait(watch)
 }
 
 func newEntry(s entry.Settings, source damasktrail.Source, clock damasktrail.Clock, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) (*entry.Entry, error) {
--- /dev/null
+++ b/cmd/gateway/main.go
@@ -0,0 +1,158 @@
+// Command gateway takes callers' plain HTTP requests on the users' platform and
+// sends them straight to the endpoints that run them.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/dig"
+	"go.uber.org/fx"
+
+	"damasktrail.dev"
+	"damasktrail.dev/admin"
+	"damasktrail.dev/gateway"
+	"damasktrail.dev/group"
+	"damasktrail.dev/platform"
+	"damasktrail.dev/setting"
+	"damasktrail.dev/telemetry"
+	"damasktrail.dev/timer"
+)
+
+// options are the flags and environment variables.
+type options struct {
+	Settings string `long:"settings" env:"DAMASKTRAIL_BOOT" required:"true" description:"path of the platform's settings file"`
+	Metrics  int    `long:"metrics" env:"DAMASKTRAIL_METRICS" default:"0" description:"port for metrics on the VM's address; 0 serves none"`
+	Level    string `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
+}
+
+const maxPort = 1<<16 - 1
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	s, err := read(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "gateway:", err)
+		os.Exit(2)
+	}
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(o, s),
+		fx.StopTimeout(s.Grace+time.Second),
+		fx.Provide(newTasks, newClock, newMetrics, newSink, newLogger, newDirectory, newGateway),
+		fx.Invoke(serve),
+	)
+	if err := app.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, "gateway:", dig.RootCause(err))
+		os.Exit(1)
+	}
+	app.Run()
+}
+
+// read checks the options and reads the settings file.
+func read(o options) (gateway.Settings, error) {
+	if err := setting.Within("--metrics", o.Metrics, 0, maxPort); err != nil {
+		return gateway.Settings{}, err
+	}
+	return platform.ReadSettings(o.Settings)
+}
+
+func newTasks() *group.Group { return group.New(context.Background()) }
+
+func newClock(tasks *group.Group) damasktrail.Clock { return timer.New(tasks) }
+
+func newMetrics() (*telemetry.Metrics, error) { return telemetry.New("gateway") }
+
+func newSink(tasks *group.Group, m *telemetry.Metrics) (*telemetry.Sink, error) {
+	s := telemetry.NewSink(os.Stdout, tasks)
+	err := m.Gauge("log_dropped", "Log lines dropped because standard output was not read.", func() float64 { return float64(s.Dropped()) })
+	return s, err
+}
+
+func newLogger(o options, s *telemetry.Sink) (*slog.Logger, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(o.Level)); err != nil {
+		return nil, err
+	}
+	return telemetry.Logger(s, "gateway", level), nil
+}
+
+func newDirectory(s gateway.Settings) damasktrail.Directory {
+	return platform.New(s.Directory, &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 4,
+		DisableCompression:  true,
+		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+	}})
+}
+
+func newGateway(s gateway.Settings, d damasktrail.Directory, clock damasktrail.Clock, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) (*gateway.Gateway, error) {
+	boot := uint64(time.Now().UnixNano())
+	return gateway.New(s, d, platform.Dialect{}, clock, timer.Uptime, boot, tasks, m, log)
+}
+
+func serve(lc fx.Lifecycle, stop fx.Shutdowner, o options, s gateway.Settings, g *gateway.Gateway, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) {
+	failed := func(err error) {
+		log.Error("listener failed", "error", err)
+		_ = stop.Shutdown(fx.ExitCode(1))
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			tasks.Go(func(ctx context.Context) { reload(ctx, o, s, log) })
+			if o.Metrics > 0 {
+				address := net.JoinHostPort(s.Address, strconv.Itoa(o.Metrics))
+				if _, err := netip.ParseAddrPort(address); err != nil {
+					return err
+				}
+				if _, err := admin.Listen(address, m.Handler(), tasks, failed); err != nil {
+					return err
+				}
+			}
+			return g.Start(failed)
+		},
+		OnStop: func(ctx context.Context) error {
+			g.Drain(ctx)
+			err := g.Close()
+			log.Info("stopped")
+			tasks.Close()
+			return err
+		},
+	})
+}
+
+// reload reads the settings file again after each SIGHUP and reports what
+// changed. Addresses and bounds of a running process do not change.
+func reload(ctx context.Context, o options, old gateway.Settings, log *slog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return
+		}
+		s, err := read(o)
+		if err != nil {
+			log.Error("settings not reloaded", "error", err)
+			continue
+		}
+		log.Info("settings reloaded", "callers", s.Callers, "seeds", s.Seeds, "directory", s.Directory, "moved", s.Callers != old.Callers || s.Directory != old.Directory)
+		old = s
+	}
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,584 @@
+// Package dispatch decides which waiting request goes to which endpoint, and
+// which request is refused. It knows what the endpoints of a service hold for
+// this entry and, from reports, for its peers. It has no network; a
+// [Scheduler] is told of every event. Start from [New].
+//
+// It answers bursts above what the endpoints can hold: engines know no tiers
+// and run what they are sent in order of arrival, so requests wait here, by
+// tier, until an endpoint has a free place.
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"damasktrail.dev"
+	"damasktrail.dev/fleet"
+	"damasktrail.dev/health"
+	"damasktrail.dev/queue"
+)
+
+const (
+	// waitShare is the part of its objective that a request may wait for a place.
+	// What is left is needed for the prompt.
+	waitShare = 0.7
+	// minWait is the least time that a request may wait, for objectives that are
+	// shorter than the work itself.
+	minWait = 100 * time.Millisecond
+	// maxWaiting bounds the requests that wait at one entry for one service.
+	maxWaiting = 1024
+	// minRetry and maxRetry bound the advice when to try again.
+	minRetry = 200 * time.Millisecond
+	maxRetry = 3 * time.Second
+	// engineExtra and plainExtra are places beyond an endpoint's slots. An engine
+	// gets none, since what it holds back can no longer be put in order of tiers.
+	// A plain service answers in tens of milliseconds.
+	engineExtra = 0
+	plainExtra  = 6
+	// stuck is how long an endpoint may leave a request without its first byte
+	// before it gets no more.
+	stuck = 1500 * time.Millisecond
+	// fullPause keeps requests from an endpoint that said it is full.
+	fullPause = 60 * time.Millisecond
+	// firstPause keeps requests from an endpoint that failed; it doubles with each
+	// failure in a row, up to maxPause.
+	firstPause = 500 * time.Millisecond
+	maxPause   = 4 * time.Second
+	// baseWork is the work of a request beside its prompt, in prompt tokens.
+	baseWork = 2000
+	// farWork is what another failure domain counts in the choice of an endpoint,
+	// in prompt tokens.
+	farWork = 400
+	// avoidWork is what an endpoint counts that this request was already sent to.
+	avoidWork = 1e6
+	// smoothing is the share of a new sample in a mean.
+	smoothing = 0.2
+	// firstHold is the assumed time that a request holds a place until one was
+	// measured.
+	firstHold = 500 * time.Millisecond
+)
+
+// Request is what the decision knows of a request. It is immutable.
+type Request struct {
+	// Service is the service that runs it.
+	Service string
+	// Engine says that the service's endpoints are model engines.
+	Engine bool
+	// Organisation shares its tier with the others.
+	Organisation string
+	// Tier is the rank; 0 is the highest.
+	Tier int
+	// Objective is the time left until the answer loses part of its use; zero
+	// when there is none.
+	Objective time.Duration
+	// Left is the time until the answer is useless.
+	Left time.Duration
+	// Prompt is the number of prompt tokens.
+	Prompt int
+	// Avoid is an endpoint that the request was sent to before, or empty.
+	Avoid string
+}
+
+// Hold is what endpoints hold for one entry.
+type Hold struct {
+	// Requests is the number of requests there.
+	Requests int
+	// Prompt is the number of prompt tokens of those without a first byte.
+	Prompt int
+}
+
+// Others is what peers report, summed over them. It must not be changed.
+type Others struct {
+	// Holds is by ID of the endpoint.
+	Holds map[string]Hold
+	// Waiting is the number of waiting requests by service and tier.
+	Waiting map[string]map[int]int
+}
+
+// Report is what this entry tells its peers.
+type Report = Others
+
+// Result is how an attempt ended.
+type Result int
+
+// The results.
+const (
+	// Answered is a whole answer of the endpoint.
+	Answered Result = iota
+	// Cancelled is an attempt that the caller or the entry ended.
+	Cancelled
+	// Full is a refusal by an endpoint that has no room.
+	Full
+	// Failed is a failure that the endpoint answered with.
+	Failed
+	// Broken is a connection that could not be made or broke.
+	Broken
+)
+
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	fleet.Endpoint
+	// grants are this entry's attempts there.
+	grants map[*Grant]struct{}
+	// pace is the mean time between events in seconds; zero when unknown.
+	pace float64
+	// paused is the end of a pause.
+	paused time.Time
+	// failures counts broken connections in a row. With one or more, a single
+	// request at a time tries the endpoint again.
+	failures int
+}
+
+// service is what is known of one service.
+type service struct {
+	name string
+	// engine says that the endpoints are model engines.
+	engine    bool
+	waiting   *queue.Queue[*waiter]
+	endpoints map[string]*endpoint
+	health    *health.Group
+	// hold is the mean time that a request holds a place, in seconds.
+	hold float64
+}
+
+// waiter is a request that waits.
+type waiter struct {
+	request Request
+	// granted receives one grant, or nil when the request waited too long.
+	granted chan *Grant
+}
+
+// Grant is a place at an endpoint. It is used by one goroutine and must be ended
+// by Done.
+type Grant struct {
+	// Endpoint is where the request goes.
+	Endpoint fleet.Endpoint
+
+	scheduler *Scheduler
+	service   *service
+	prompt    int
+	since     time.Time
+	// started says that the first byte has come.
+	started bool
+	done    bool
+}
+
+// Scheduler places requests. It is safe for use by several goroutines.
+type Scheduler struct {
+	clock  damasktrail.Clock
+	domain string
+	// changed is called without a lock after what Report returns has changed.
+	changed func()
+
+	mu       sync.Mutex
+	services map[string]*service
+	others   Others
+	next     uint64
+}
+
+// New returns a scheduler without endpoints for an entry in a failure domain.
+func New(clock damasktrail.Clock, domain string, changed func()) *Scheduler {
+	return &Scheduler{clock: clock, domain: domain, changed: changed, services: map[string]*service{}}
+}
+
+// SetEndpoints replaces the list of endpoints. What is known of those that stay
+// is kept.
+func (s *Scheduler) SetEndpoints(list fleet.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.services {
+		for id, e := range v.endpoints {
+			if n, found := list.Find(id); !found || !n.Same(e.Endpoint) {
+				delete(v.endpoints, id)
+			}
+		}
+	}
+	for _, e := range list.All() {
+		v := s.service(e.Service)
+		old, found := v.endpoints[e.ID]
+		if !found {
+			old = &endpoint{grants: map[*Grant]struct{}{}}
+			v.endpoints[e.ID] = old
+		}
+		old.Endpoint = e
+	}
+	for _, v := range s.services {
+		names := make([]string, 0, len(v.endpoints))
+		for id := range v.endpoints {
+			names = append(names, id)
+		}
+		v.health.Retain(names)
+		s.place(v)
+	}
+}
+
+// SetOthers replaces what peers report.
+func (s *Scheduler) SetOthers(o Others) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others = o
+	for _, v := range s.services {
+		s.place(v)
+	}
+}
+
+// Tick places what waits for the end of a pause.
+func (s *Scheduler) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.services {
+		s.place(v)
+	}
+}
+
+// Report returns what peers should know.
+func (s *Scheduler) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	res := Report{Holds: map[string]Hold{}, Waiting: map[string]map[int]int{}}
+	for name, v := range s.services {
+		for id, e := range v.endpoints {
+			if h := e.held(); h.Requests > 0 {
+				res.Holds[id] = h
+			}
+		}
+		v.waiting.Waiting(func(rank, count int) {
+			if res.Waiting[name] == nil {
+				res.Waiting[name] = map[int]int{}
+			}
+			res.Waiting[name][rank] = count
+		})
+	}
+	return res
+}
+
+// Acquire waits for a place. It returns a refusal, always [damasktrail.NotRun],
+// when there will be none in time or ctx ends.
+func (s *Scheduler) Acquire(ctx context.Context, r Request) (*Grant, *damasktrail.Refusal) {
+	w := &waiter{request: r, granted: make(chan *Grant, 1)}
+	s.mu.Lock()
+	v := s.service(r.Service)
+	v.engine = r.Engine
+	id, limit, refusal := s.enter(v, w)
+	s.mu.Unlock()
+	if refusal != nil {
+		return nil, refusal
+	}
+	select {
+	case g := <-w.granted:
+		s.changed()
+		return g, nil
+	default:
+	}
+	s.changed()
+	expired := make(chan struct{})
+	cancel := s.clock.Schedule(limit, func(time.Time) { close(expired) })
+	defer cancel()
+	select {
+	case g := <-w.granted:
+		if g != nil {
+			s.changed()
+			return g, nil
+		}
+	case <-expired:
+	case <-ctx.Done():
+	}
+	return s.leave(ctx, v, w, id)
+}
+
+// enter puts a request into the queue and places what it can.
+func (s *Scheduler) enter(v *service, w *waiter) (id string, limit time.Duration, refusal *damasktrail.Refusal) {
+	r := w.request
+	limit = min(max(time.Duration(waitShare*float64(r.Objective)), minWait), r.Left)
+	wait, known := s.wait(v, r)
+	if !known {
+		return "", 0, refuse(damasktrail.ReasonNotReady, minRetry, "the service %q has no endpoint", r.Service)
+	}
+	if wait > limit {
+		return "", 0, refuse(damasktrail.ReasonDeadline, wait, "a place is free in %v and the request may wait %v", wait.Round(time.Millisecond), limit.Round(time.Millisecond))
+	}
+	s.next++
+	id = fmt.Sprint(s.next)
+	_, refusal = v.waiting.Push(queue.Item[*waiter]{
+		ID:      id,
+		Request: damasktrail.Request{Organisation: r.Organisation, Tier: r.Tier, Cost: damasktrail.Cost{Prefill: r.Prompt}, Deadline: r.Left},
+		Value:   w,
+	}, s.clock.Now())
+	if refusal != nil {
+		return "", 0, refusal
+	}
+	s.place(v)
+	return id, limit, nil
+}
+
+// leave takes a request out of the queue, or returns the grant that it got in
+// the meantime.
+func (s *Scheduler) leave(ctx context.Context, v *service, w *waiter, id string) (*Grant, *damasktrail.Refusal) {
+	s.mu.Lock()
+	_, waited := v.waiting.Remove(id)
+	wait, _ := s.wait(v, w.request)
+	s.mu.Unlock()
+	s.changed()
+	if !waited {
+		select {
+		case g := <-w.granted:
+			if g != nil {
+				return g, nil
+			}
+		default: // The queue found it too late.
+		}
+	}
+	if ctx.Err() != nil {
+		return nil, refuse(damasktrail.ReasonCancelled, 0, "the caller left while the request waited")
+	}
+	return nil, refuse(damasktrail.ReasonDeadline, wait, "no place was free in time")
+}
+
+func refuse(reason damasktrail.Reason, after time.Duration, format string, args ...any) *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: reason, Outcome: damasktrail.NotRun, Detail: fmt.Sprintf(format, args...),
+		RetryAfter: min(max(after, minRetry), maxRetry),
+	}
+}
+
+// wait estimates how long a request waits for a place; known is false when the
+// service has no endpoint that takes requests.
+func (s *Scheduler) wait(v *service, r Request) (res time.Duration, known bool) {
+	places, free := 0, 0
+	for _, e := range v.endpoints {
+		if e.State != fleet.Ready || e.failures > 0 {
+			continue
+		}
+		places += v.capacity(e)
+		free += max(0, v.capacity(e)-s.taken(e))
+	}
+	if places == 0 {
+		for _, e := range v.endpoints {
+			known = known || e.State == fleet.Ready
+		}
+		return 0, known
+	}
+	ahead := 0
+	v.waiting.Waiting(func(rank, count int) {
+		if rank <= r.Tier {
+			ahead += count
+		}
+	})
+	for rank, count := range s.others.Waiting[v.name] {
+		if rank <= r.Tier {
+			ahead += count
+		}
+	}
+	if ahead < free {
+		return 0, true
+	}
+	seconds := float64(ahead-free+1) * v.hold / float64(places)
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// place grants places to what waits. It is called with mu held.
+func (s *Scheduler) place(v *service) {
+	now := s.clock.Now()
+	for _, it := range v.waiting.Expire(now) {
+		it.Value.granted <- nil
+	}
+	for v.waiting.Len() > 0 {
+		if !s.mayPlace(v, now) {
+			return
+		}
+		it, ok := v.waiting.Pop(now)
+		if !ok {
+			return
+		}
+		w := it.Value
+		e := s.choose(v, w.request, now)
+		if e == nil {
+			// Not reached while mayPlace and choose agree on what is free.
+			_, _ = v.waiting.Push(it, now)
+			return
+		}
+		g := &Grant{Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, since: now}
+		e.grants[g] = struct{}{}
+		w.granted <- g
+	}
+}
+
+// mayPlace reports whether a free place is left for the highest tier that waits
+// here, after the places for higher tiers that wait at peers.
+func (s *Scheduler) mayPlace(v *service, now time.Time) bool {
+	better := 0
+	own := v.waiting.Highest()
+	for rank, count := range s.others.Waiting[v.name] {
+		if rank < own {
+			better += count
+		}
+	}
+	free := 0
+	for _, e := range v.endpoints {
+		free += s.free(v, e, now)
+	}
+	return free > better
+}
+
+// free returns the number of places that an endpoint has for this entry now.
+func (s *Scheduler) free(v *service, e *endpoint, now time.Time) int {
+	if e.State != fleet.Ready || now.Before(e.paused) || v.health.Ejected(e.ID, now) || e.stuck(now) {
+		return 0
+	}
+	if e.failures > 0 {
+		return max(0, 1-len(e.grants))
+	}
+	return max(0, v.capacity(e)-s.taken(e))
+}
+
+// choose returns the endpoint with a free place at which the first byte is
+// expected the soonest, nil when there is none.
+func (s *Scheduler) choose(v *service, r Request, now time.Time) *endpoint {
+	fastest := math.Inf(1)
+	for _, e := range v.endpoints {
+		if e.pace > 0 {
+			fastest = min(fastest, e.pace)
+		}
+	}
+	var free []*endpoint
+	for _, e := range v.endpoints {
+		if s.free(v, e, now) > 0 {
+			free = append(free, e)
+		}
+	}
+	if len(free) == 0 {
+		return nil
+	}
+	work := func(e *endpoint) float64 {
+		slower := 1.0
+		if e.pace > 0 {
+			slower = e.pace / fastest
+		}
+		held, others := e.held(), s.others.Holds[e.ID]
+		res := slower * float64(baseWork+r.Prompt+held.Prompt+others.Prompt)
+		res += slower * baseWork * float64(held.Requests+others.Requests) / float64(e.Slots)
+		if e.Domain != s.domain {
+			res += farWork
+		}
+		if e.ID == r.Avoid {
+			res += avoidWork
+		}
+		return res
+	}
+	return slices.MinFunc(free, func(a, b *endpoint) int {
+		return cmp.Or(cmp.Compare(work(a), work(b)), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// service returns the service of that name and makes it when absent.
+func (s *Scheduler) service(name string) *service {
+	v, found := s.services[name]
+	if !found {
+		v = &service{
+			name:      name,
+			waiting:   queue.New[*waiter](queue.Limits{Requests: maxWaiting, Prefill: math.MaxInt}),
+			endpoints: map[string]*endpoint{},
+			health:    health.New(),
+			hold:      firstHold.Seconds(),
+		}
+		s.services[name] = v
+	}
+	return v
+}
+
+// taken returns the number of places that are taken at an endpoint.
+func (s *Scheduler) taken(e *endpoint) int {
+	return len(e.grants) + s.others.Holds[e.ID].Requests
+}
+
+// capacity is the number of places of an endpoint.
+func (v *service) capacity(e *endpoint) int {
+	if v.engine {
+		return e.Slots + engineExtra
+	}
+	return e.Slots + plainExtra
+}
+
+// held returns what the endpoint holds for this entry.
+func (e *endpoint) held() Hold {
+	res := Hold{Requests: len(e.grants)}
+	for g := range e.grants {
+		if !g.started {
+			res.Prompt += g.prompt
+		}
+	}
+	return res
+}
+
+// stuck reports whether a request has waited too long for its first byte.
+func (e *endpoint) stuck(now time.Time) bool {
+	for g := range e.grants {
+		if !g.started && now.Sub(g.since) > stuck {
+			return true
+		}
+	}
+	return false
+}
+
+// Started says that the first byte of the answer has come.
+func (g *Grant) Started() {
+	g.scheduler.mu.Lock()
+	g.started = true
+	g.scheduler.mu.Unlock()
+	g.scheduler.changed()
+}
+
+// Done gives the place back. pace is the mean time between events of the answer,
+// zero when it is unknown. Only the first call counts.
+func (g *Grant) Done(result Result, pace time.Duration) {
+	s := g.scheduler
+	s.mu.Lock()
+	if g.done {
+		s.mu.Unlock()
+		return
+	}
+	g.done = true
+	if e := g.service.endpoints[g.Endpoint.ID]; e != nil {
+		delete(e.grants, g)
+		g.learn(e, result, pace, s.clock.Now())
+	}
+	s.place(g.service)
+	s.mu.Unlock()
+	s.changed()
+}
+
+// learn updates what is known of the endpoint.
+func (g *Grant) learn(e *endpoint, result Result, pace time.Duration, now time.Time) {
+	v := g.service
+	switch result {
+	case Answered:
+		e.failures = 0
+		v.health.Answer(e.ID, 0, now)
+		v.hold += smoothing * (now.Sub(g.since).Seconds() - v.hold)
+		if pace > 0 {
+			e.learnPace(pace.Seconds())
+		}
+	case Failed:
+		e.failures = 0
+		v.health.Fail(e.ID, now)
+	case Full:
+		e.paused = now.Add(fullPause)
+	case Broken:
+		e.paused = now.Add(min(firstPause<<min(e.failures, 10), maxPause))
+		e.failures++
+	case Cancelled:
+	}
+}
+
+func (e *endpoint) learnPace(seconds float64) {
+	if e.pace == 0 {
+		e.pace = seconds
+		return
+	}
+	e.pace += smoothing * (seconds - e.pace)
+}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -20,8 +20,8 @@
 	"damasktrail.dev/entry"
 	"damasktrail.dev/group"
 	"damasktrail.dev/member"
-	"damasktrail.dev/platform"
 	"damasktrail.dev/set"
+	"damasktrail.dev/source"
 	"damasktrail.dev/standin"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/timer"
@@ -56,11 +56,11 @@
 		return res
 	}
 	f := &fleet{platform: standin.NewPlatform(standin.PlatformOptions{Clock: clock, Rate: 2000})}
-	published := httptest.NewServer(f.platform.Handler())
+	published := httptest.NewServer(f.source.Handler())
 	t.Cleanup(published.Close)
 	document, err := os.ReadFile("../samples/jury.json")
 	require.NoError(t, err)
-	require.NoError(t, f.platform.PublishDocument(document))
+	require.NoError(t, f.source.PublishDocument(document))
 	var vms []member.VM
 	for i, o := range endpoints {
 		name, kind := fmt.Sprintf("jurying-%d", i), "jurying"
@@ -100,7 +100,7 @@
 			Agents:  own.ClientConfig(certificate.RoleAgent),
 			Entries: own.ClientConfig(certificate.RoleEntry),
 			Listen:  own.ServerConfig(set.Of(certificate.RoleEntry)),
-		}, platform.New(published.URL, http.DefaultClient).WithWait(time.Second), clock, tasks, m, log)
+		}, source.New(published.URL, http.DefaultClient).WithWait(time.Second), clock, tasks, m, log)
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = e.Close() })
 		server := httptest.NewServer(e.Callers())
@@ -112,7 +112,7 @@
 	}
 	list, err := member.New(1, vms)
 	require.NoError(t, err)
-	require.NoError(t, f.platform.PublishVMs(list.Encode()))
+	require.NoError(t, f.source.PublishVMs(list.Encode()))
 	for _, e := range f.entries {
 		e.Start()
 	}
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,385 @@
+// Package exchange tells the entries of one fleet what each of them holds, by
+// small datagrams. A report replaces the one before, so a lost datagram is
+// repaired by the next; nothing is acknowledged. Start from [New].
+//
+// Datagrams are not authenticated: the platform gives the processes no keys.
+// A report can only change where an entry sends requests and when it refuses
+// them, never what a caller gets.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"damasktrail.dev"
+	"damasktrail.dev/dispatch"
+	"damasktrail.dev/frame"
+	"damasktrail.dev/group"
+	"damasktrail.dev/quota"
+)
+
+const (
+	// interval is the longest time between two reports to a peer.
+	interval = 200 * time.Millisecond
+	// spacing is the shortest time between two reports.
+	spacing = 4 * time.Millisecond
+	// life is how long a peer's report counts without a newer one.
+	life = 900 * time.Millisecond
+	// forget is how long the address of a silent peer is kept.
+	forget = time.Minute
+	// retrySilent is the time between reports to a peer that is silent.
+	retrySilent = time.Second
+	// maxDatagram is the largest report in bytes that is read.
+	maxDatagram = 8 << 10
+	// peersEvery is the number of reports of which one lists the peers.
+	peersEvery = 16
+	// maxPeers bounds the peers that reports go to.
+	maxPeers = 32
+)
+
+// message is a report on the wire.
+type message struct {
+	Name string `cbor:"1,keyasint"`
+	// Boot is the incarnation of the sender, Number that of the report.
+	Boot   uint64 `cbor:"2,keyasint"`
+	Number uint64 `cbor:"3,keyasint"`
+	// Table is the version of the routing table in force.
+	Table uint64 `cbor:"4,keyasint"`
+	// Holds has requests and prompt tokens by endpoint.
+	Holds   map[string][2]int      `cbor:"5,keyasint,omitempty"`
+	Waiting map[string]map[int]int `cbor:"6,keyasint,omitempty"`
+	Usage   quota.Usage            `cbor:"7,keyasint,omitempty"`
+	// Suspects are requests that crashed endpoints.
+	Suspects []frame.Suspect `cbor:"8,keyasint,omitempty"`
+	// Peers are addresses that the sender knows.
+	Peers []string `cbor:"9,keyasint,omitempty"`
+	// Leaving says that the sender is shutting down.
+	Leaving bool `cbor:"10,keyasint,omitempty"`
+}
+
+// State is what an entry reports of itself.
+type State struct {
+	// Table is the version of the routing table in force.
+	Table    uint64
+	Dispatch dispatch.Report
+	Usage    quota.Usage
+	Suspects []frame.Suspect
+	Leaving  bool
+}
+
+// Owner is told what peers report.
+type Owner interface {
+	// State returns what this entry reports.
+	State() State
+	// Learn takes the report of one peer. The name includes its incarnation.
+	Learn(peer string, s State)
+	// Forget says that a peer's incarnation is gone.
+	Forget(peer string)
+	// SetOthers takes the sum over the peers.
+	SetOthers(o dispatch.Others)
+}
+
+// peer is what is known at one address.
+type peer struct {
+	name   string
+	boot   uint64
+	number uint64
+	heard  time.Time
+	// sent is the time of the last report to it.
+	sent   time.Time
+	state  State
+	silent bool
+}
+
+func (p *peer) key() string { return fmt.Sprintf("%s/%d", p.name, p.boot) }
+
+// Exchange sends and receives reports. It is safe for use by several goroutines.
+type Exchange struct {
+	name    string
+	address netip.AddrPort
+	seeds   []netip.AddrPort
+	boot    uint64
+	owner   Owner
+	clock   damasktrail.Clock
+	log     *slog.Logger
+	conn    *net.UDPConn
+	// dirty holds an element when a report is due.
+	dirty chan struct{}
+
+	mu     sync.Mutex
+	number uint64
+	// peers is by address and holds at most maxPeers.
+	peers map[netip.AddrPort]*peer
+}
+
+// New binds address. Seeds are addresses of peers; its own is left out. Boot
+// must differ between two starts of the process.
+func New(name, address string, seeds []string, boot uint64, owner Owner, clock damasktrail.Clock, log *slog.Logger) (res *Exchange, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("open the exchange on %s: %w", address, err)
+		}
+	}()
+	own, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	res = &Exchange{
+		name: name, address: own, boot: boot, owner: owner, clock: clock, log: log,
+		dirty: make(chan struct{}, 1), peers: map[netip.AddrPort]*peer{},
+	}
+	for _, s := range seeds {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, err
+		}
+		res.seeds = append(res.seeds, a)
+		res.add(a)
+	}
+	res.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(own))
+	return res, err
+}
+
+// Address returns the bound address.
+func (x *Exchange) Address() string { return x.conn.LocalAddr().String() }
+
+// Start exchanges reports as tasks of the group until it ends.
+func (x *Exchange) Start(tasks *group.Group) {
+	tasks.Go(x.receive)
+	tasks.Go(x.send)
+	cancel := x.clock.Subscribe(interval/2, x.tick)
+	tasks.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		cancel()
+		_ = x.conn.Close()
+	})
+}
+
+// Changed says that the state has changed. It does not block.
+func (x *Exchange) Changed() {
+	select {
+	case x.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// add notes a peer's address.
+func (x *Exchange) add(a netip.AddrPort) {
+	if _, found := x.peers[a]; found || a == x.address || len(x.peers) >= maxPeers {
+		return
+	}
+	x.peers[a] = &peer{silent: true}
+}
+
+// send reports to all peers after a change.
+func (x *Exchange) send(ctx context.Context) {
+	for {
+		select {
+		case <-x.dirty:
+		case <-ctx.Done():
+			return
+		}
+		x.report(x.clock.Now(), 0)
+		if x.clock.Sleep(ctx, spacing) != nil {
+			return
+		}
+	}
+}
+
+// report sends the state to the peers that got none for the given time.
+func (x *Exchange) report(now time.Time, quiet time.Duration) {
+	to := x.due(now, quiet)
+	if len(to) == 0 {
+		return
+	}
+	body, err := x.encode()
+	if err != nil {
+		x.log.Error("report cannot be encoded", "error", err)
+		return
+	}
+	for _, a := range to {
+		if _, err := x.conn.WriteToUDPAddrPort(body, a); err != nil && !errors.Is(err, net.ErrClosed) {
+			x.log.Debug("report not sent", "peer", a.String(), "error", err)
+		}
+	}
+}
+
+// due returns the peers to report to and notes that they are reported to.
+func (x *Exchange) due(now time.Time, quiet time.Duration) []netip.AddrPort {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var res []netip.AddrPort
+	for a, p := range x.peers {
+		wait := quiet
+		if p.silent {
+			wait = retrySilent
+		}
+		if now.Sub(p.sent) >= wait {
+			p.sent = now
+			res = append(res, a)
+		}
+	}
+	return res
+}
+
+// encode returns the next report.
+func (x *Exchange) encode() ([]byte, error) {
+	s := x.owner.State()
+	m := message{
+		Name: x.name, Boot: x.boot, Table: s.Table,
+		Waiting: s.Dispatch.Waiting, Usage: s.Usage, Suspects: s.Suspects, Leaving: s.Leaving,
+		Holds: make(map[string][2]int, len(s.Dispatch.Holds)),
+	}
+	for id, h := range s.Dispatch.Holds {
+		m.Holds[id] = [2]int{h.Requests, h.Prompt}
+	}
+	x.mu.Lock()
+	x.number++
+	m.Number = x.number
+	if x.number%peersEvery == 1 {
+		for a, p := range x.peers {
+			if !p.silent {
+				m.Peers = append(m.Peers, a.String())
+			}
+		}
+	}
+	x.mu.Unlock()
+	return cbor.Marshal(m)
+}
+
+// receive reads reports until the connection is closed.
+func (x *Exchange) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := x.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			x.log.Warn("report not read", "error", err)
+			continue
+		}
+		var m message
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+			x.log.Warn("report cannot be decoded", "peer", from.String(), "error", err)
+			continue
+		}
+		x.accept(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m)
+	}
+}
+
+// accept takes a report unless a newer one came before it.
+func (x *Exchange) accept(from netip.AddrPort, m message) {
+	s := State{
+		Table:    m.Table,
+		Dispatch: dispatch.Report{Holds: make(map[string]dispatch.Hold, len(m.Holds)), Waiting: m.Waiting},
+		Usage:    m.Usage,
+		Suspects: m.Suspects,
+		Leaving:  m.Leaving,
+	}
+	for id, h := range m.Holds {
+		s.Dispatch.Holds[id] = dispatch.Hold{Requests: h[0], Prompt: h[1]}
+	}
+	x.mu.Lock()
+	x.add(from)
+	p := x.peers[from]
+	if p == nil || p.boot == m.Boot && m.Number <= p.number {
+		x.mu.Unlock()
+		return
+	}
+	gone := ""
+	if p.name != "" && p.boot != m.Boot {
+		gone = p.key()
+	}
+	regained := p.silent
+	p.name, p.boot, p.number = m.Name, m.Boot, m.Number
+	p.heard, p.state, p.silent = x.clock.Now(), s, false
+	for _, text := range m.Peers {
+		if a, err := netip.ParseAddrPort(text); err == nil {
+			x.add(a)
+		}
+	}
+	key := p.key()
+	others := x.others()
+	x.mu.Unlock()
+	if regained {
+		x.log.Info("peer live", "peer", m.Name, "boot", m.Boot, "table", m.Table)
+	}
+	if gone != "" {
+		x.owner.Forget(gone)
+	}
+	x.owner.Learn(key, s)
+	x.owner.SetOthers(others)
+}
+
+// others sums the reports of the peers. It is called with mu held.
+func (x *Exchange) others() dispatch.Others {
+	res := dispatch.Others{Holds: map[string]dispatch.Hold{}, Waiting: map[string]map[int]int{}}
+	for _, p := range x.peers {
+		if p.silent {
+			continue
+		}
+		for id, h := range p.state.Dispatch.Holds {
+			sum := res.Holds[id]
+			sum.Requests += h.Requests
+			sum.Prompt += h.Prompt
+			res.Holds[id] = sum
+		}
+		for service, tiers := range p.state.Dispatch.Waiting {
+			if res.Waiting[service] == nil {
+				res.Waiting[service] = map[int]int{}
+			}
+			for tier, count := range tiers {
+				res.Waiting[service][tier] += count
+			}
+		}
+	}
+	return res
+}
+
+// tick reports to quiet peers and drops what silent ones reported.
+func (x *Exchange) tick(now time.Time) {
+	x.mu.Lock()
+	changed := false
+	for a, p := range x.peers {
+		switch {
+		case p.name == "" || now.Sub(p.heard) < life:
+		case !p.silent:
+			p.silent = true
+			changed = true
+			x.log.Warn("peer silent", "peer", p.name, "boot", p.boot, "silence", now.Sub(p.heard).Round(time.Millisecond))
+		case now.Sub(p.heard) > forget && !slices.Contains(x.seeds, a):
+			delete(x.peers, a)
+		}
+	}
+	others := x.others()
+	x.mu.Unlock()
+	if changed {
+		x.owner.SetOthers(others)
+	}
+	x.report(now, interval)
+}
+
+// Peers returns the names of the peers that are live, sorted.
+func (x *Exchange) Peers() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var res []string
+	for p := range maps.Values(x.peers) {
+		if !p.silent {
+			res = append(res, p.name)
+		}
+	}
+	slices.Sort(res)
+	return res
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -204,6 +204,26 @@
 	return -1
 }
 
+// Highest returns the smallest rank that waits, or -1 when nothing waits.
+func (q *Queue[T]) Highest() int {
+	for _, t := range q.tiers {
+		if t.count > 0 {
+			return t.rank
+		}
+	}
+	return -1
+}
+
+// Waiting calls f with each rank that waits and its number of items, in order
+// of rank.
+func (q *Queue[T]) Waiting(f func(rank, count int)) {
+	for _, t := range q.tiers {
+		if t.count > 0 {
+			f(t.rank, t.count)
+		}
+	}
+}
+
 // Push adds an item or refuses it; a refusal is always [damasktrail.NotRun]
 // except for an ID that waits already. The items it evicts to make room are of
 // lower tiers, newest of the lowest tier first; the caller refuses them as full.
--- a/platform/client.go
+++ b/source/client.go
@@ -1,6 +1,7 @@
-// Package platform reads the values that the platform publishes, over HTTP.
+// Package source reads the document and the VM list that a configuration service
+// publishes in the product's own format, over HTTP.
 // Nothing can be written through it. Start from [New].
-package platform
+package source
 
 import (
 	"compress/gzip"
--- a/platform/client_test.go
+++ b/source/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package source_test
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 
 	"damasktrail.dev"
 	"damasktrail.dev/group"
-	"damasktrail.dev/platform"
+	"damasktrail.dev/source"
 	"damasktrail.dev/standin"
 	"damasktrail.dev/timer"
 )
@@ -93,7 +93,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := newService(t, 0)
 			defer transport.CloseIdleConnections()
-			s := platform.New(p.base, &http.Client{Transport: transport}).WithWait(200 * time.Millisecond)
+			s := source.New(p.base, &http.Client{Transport: transport}).WithWait(200 * time.Millisecond)
 			contract(t, s, func(version int) {
 				require.Equal(t, http.StatusNoContent, p.put(t, "/control/document", document(version)))
 				require.Equal(t, http.StatusNoContent, p.put(t, "/control/vms", fmt.Sprintf(`{"version": %d, "vms": []}`, version)))
@@ -114,8 +114,8 @@
 func TestFaults(t *testing.T) {
 	ctx := context.Background()
 	p := newService(t, 0)
-	s := platform.New(p.base, http.DefaultClient).WithWait(50 * time.Millisecond)
-	var status *platform.StatusError
+	s := source.New(p.base, http.DefaultClient).WithWait(50 * time.Millisecond)
+	var status *source.StatusError
 	_, err := s.Document(ctx, 0)
 	require.ErrorAs(t, err, &status, "nothing published yet")
 	require.Equal(t, http.StatusServiceUnavailable, status.Status)
@@ -132,10 +132,10 @@
 	v, err := s.Document(ctx, 0)
 	require.NoError(t, err)
 	require.Equal(t, uint64(2), v.Version)
-	var older *platform.OlderError
+	var older *source.OlderError
 	_, err = s.Document(ctx, 4)
 	require.ErrorAs(t, err, &older)
-	require.Equal(t, platform.OlderError{Kind: "document", After: 4, Got: 2}, *older)
+	require.Equal(t, source.OlderError{Kind: "document", After: 4, Got: 2}, *older)
 
 	require.NoError(t, p.SetFault(standin.PlatformFault{Mode: standin.FaultStale}))
 	require.NoError(t, p.PublishDocument([]byte(document(5))))
@@ -164,11 +164,11 @@
 func TestReadRate(t *testing.T) {
 	p := newService(t, 5)
 	require.NoError(t, p.PublishDocument([]byte(document(1))))
-	s := platform.New(p.base, http.DefaultClient)
+	s := source.New(p.base, http.DefaultClient)
 	refused := 0
 	for range 20 {
 		_, err := s.Document(context.Background(), 0)
-		var status *platform.StatusError
+		var status *source.StatusError
 		if err != nil {
 			require.ErrorAs(t, err, &status)
 			require.Equal(t, http.StatusTooManyRequests, status.Status)
@@ -207,7 +207,7 @@
 				_, _ = io.Copy(w, bytes.NewReader([]byte(c.body)))
 			}))
 			defer server.Close()
-			v, err := platform.New(server.URL, server.Client()).Document(context.Background(), 0)
+			v, err := source.New(server.URL, server.Client()).Document(context.Background(), 0)
 			if c.want == "" {
 				require.NoError(t, err)
 				require.Len(t, v.Data, len(c.body))
@@ -227,7 +227,7 @@
 	defer server.Close()
 	defer close(release)
 	start := time.Now()
-	_, err := platform.New(server.URL, server.Client()).WithWait(100*time.Millisecond).Document(context.Background(), 0)
+	_, err := source.New(server.URL, server.Client()).WithWait(100*time.Millisecond).Document(context.Background(), 0)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.Less(t, time.Since(start), 4*time.Second)
 }
--- a/platform/example_test.go
+++ b/source/example_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package source_test
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"net/http/httptest"
 
 	"damasktrail.dev/group"
-	"damasktrail.dev/platform"
+	"damasktrail.dev/source"
 	"damasktrail.dev/standin"
 	"damasktrail.dev/timer"
 )
@@ -19,7 +19,7 @@
 	_ = p.PublishDocument([]byte(`{"generation": 7}`))
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	value, err := platform.New(server.URL, http.DefaultClient).Document(context.Background(), 0)
+	value, err := source.New(server.URL, http.DefaultClient).Document(context.Background(), 0)
 	fmt.Println(value.Version, string(value.Data), err)
 	// Output: 7 {"generation": 7} <nil>
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -28,6 +29,9 @@
 
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
+	// latencies holds the histograms by name, tiers the attributes by rank.
+	latencies map[string]metric.Float64Histogram
+	tiers     map[int]metric.MeasurementOption
 	// options holds the attribute sets of refusals that were seen, so that
 	// counting one allocates nothing after the first.
 	options map[refusalKey]metric.MeasurementOption
@@ -61,12 +65,14 @@
 		return nil, err
 	}
 	return &Metrics{
-		registry: registry,
-		meter:    meter,
-		refusals: refusals,
-		retries:  retries,
-		counters: map[string]metric.Int64Counter{},
-		options:  map[refusalKey]metric.MeasurementOption{},
+		registry:  registry,
+		meter:     meter,
+		refusals:  refusals,
+		retries:   retries,
+		counters:  map[string]metric.Int64Counter{},
+		latencies: map[string]metric.Float64Histogram{},
+		tiers:     map[int]metric.MeasurementOption{},
+		options:   map[refusalKey]metric.MeasurementOption{},
 	}, nil
 }
 
@@ -114,6 +120,31 @@
 	c.Add(context.Background(), n)
 }
 
+// latencyBounds are the buckets of latency histograms, in seconds.
+var latencyBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16}
+
+// Latency adds a time to the histogram damasktrail_NAME_seconds of a tier.
+func (m *Metrics) Latency(name string, tier int, d time.Duration) {
+	m.mu.Lock()
+	h, found := m.latencies[name]
+	if !found {
+		var err error
+		h, err = m.meter.Float64Histogram("damasktrail_"+name+"_seconds", metric.WithExplicitBucketBoundaries(latencyBounds...))
+		if err != nil {
+			m.mu.Unlock()
+			return // Only a malformed name is refused; tests of callers show it.
+		}
+		m.latencies[name] = h
+	}
+	option, found := m.tiers[tier]
+	if !found {
+		option = metric.WithAttributeSet(attribute.NewSet(attribute.Int("tier", tier)))
+		m.tiers[tier] = option
+	}
+	m.mu.Unlock()
+	h.Record(context.Background(), d.Seconds(), option)
+}
+
 // Gauge shows the result of f as damasktrail_NAME at each read of the page.
 func (m *Metrics) Gauge(name, description string, f func() float64) (err error) {
 	_, err = m.meter.Float64ObservableGauge("damasktrail_"+name,
