Refuse requests late in a shutdown that it would cut off

Change: from 2.5 s after SIGTERM a request is refused as not run unless its deadline lies before the end of the grace; kept connections are closed first. Ruled out: exit at once, since it cuts off what runs.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -21,6 +21,9 @@
 	// staleTable is the age of the table from which a request that it does not
 	// allow is not refused for good.
 	staleTable = 1500 * time.Millisecond
+	// leavingRetry is the advice of a process that is shutting down; another entry
+	// can take the request at once.
+	leavingRetry = 10 * time.Millisecond
 	// unsaidDeadline is how long a caller is assumed to wait that does not say.
 	unsaidDeadline = 30 * time.Second
 )
@@ -107,6 +110,9 @@
 	c.target = c.route.Target(rand.Float64())
 	c.service, _ = s.Table.Service(c.target)
 	c.setLimit()
+	if g.leavesBefore(c.limit) {
+		return c, deny(http.StatusServiceUnavailable, damasktrail.ReasonLeaving, leavingRetry, "this entry is shutting down")
+	}
 	if st := c.readBody(w, s.Table.Limits); st != nil {
 		return c, st
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,8 @@
 	// leaveTime is how long after the start of a shutdown new connections still
 	// come, since the balancer asks once a second and believes the second answer.
 	leaveTime = 3 * time.Second
+	// acceptTime is how long after the start of a shutdown any request is taken.
+	acceptTime = 2500 * time.Millisecond
 	// exitMargin is what is left of the grace for the end of the process.
 	exitMargin = 400 * time.Millisecond
 )
@@ -201,6 +203,7 @@
 func (g *Gateway) Drain(ctx context.Context) {
 	start := g.clock.Now()
 	g.draining.Store(&start)
+	g.callers.SetKeepAlivesEnabled(false)
 	g.exchange.Changed()
 	g.log.Info("shutting down", "open", g.open.Load(), "grace", g.settings.Grace)
 	end := start.Add(g.settings.Grace - exitMargin)
@@ -215,6 +218,17 @@
 	g.log.Info("drained", "open", g.open.Load(), "after", g.clock.Now().Sub(start).Round(time.Millisecond))
 }
 
+// leavesBefore reports whether a request that arrives now could be cut off by a
+// shutdown. Requests that come early in a shutdown are served: the balancer
+// still sends them, and most are done before the grace ends.
+func (g *Gateway) leavesBefore(limit time.Time) bool {
+	start := g.draining.Load()
+	if start == nil || g.clock.Now().Sub(*start) < acceptTime {
+		return false
+	}
+	return limit.After(start.Add(g.settings.Grace - exitMargin))
+}
+
 // Close ends all connections. It is called after Drain.
 func (g *Gateway) Close() error {
 	err := errors.Join(g.callers.Close(), g.readiness.Close())
