--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -94,7 +94,7 @@
 	if c.route, found = s.Table.Route(r.Host, r.URL.Path); !found {
 		return c, unknown(http.StatusNotFound, damasktrail.ReasonNoModel, "no route for this host and path")
 	}
-	c.tier = c.route.Tier
+	c.tier = rank(c.organisation, c.route)
 	if s.Table.Keyed() && !c.route.Anonymous {
 		if c.organisation, found = s.Table.Organisation(c.fields.Key); !found {
 			return c, unknown(http.StatusUnauthorized, damasktrail.ReasonUnauthorised, "unknown key")
@@ -103,9 +103,7 @@
 			return c, deny(http.StatusServiceUnavailable, damasktrail.ReasonNotReady, notReadyRetry, "keys were not confirmed in time")
 		}
 		c.keyed = true
-		if c.organisation.Tiered {
-			c.tier = c.organisation.Tier
-		}
+		c.tier = rank(c.organisation, c.route)
 	}
 	c.target = c.route.Target(rand.Float64())
 	c.service, _ = s.Table.Service(c.target)
@@ -119,6 +117,20 @@
 	return c, c.charge()
 }
 
+// routeTiers is the number of tiers that routes may have.
+const routeTiers = 16
+
+// rank orders requests by the tier of their organisation and, among those with
+// equal tiers, by that of their route. An organisation without a tier of its own
+// counts as one whose tier is that of the route.
+func rank(o routing.Organisation, r routing.Route) int {
+	tier := min(max(r.Tier, 0), routeTiers-1)
+	if !o.Tiered {
+		return tier * (routeTiers + 1)
+	}
+	return max(o.Tier, 0)*routeTiers + tier
+}
+
 // setLimit works out when the answer is useless.
 func (c *call) setLimit() {
 	left := c.fields.Deadline
