Take a peer's first report as the base of its usage; date a quiet watch by its end

A process that starts late took all that its peers had ever admitted from its quotas. Change: a watch that ends without news confirms the table at its end; a first report is only a base. A line names each quota in force.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -129,7 +129,8 @@
 			c.adoptTable(news.Table, start)
 			f.succeeded(news.Revision)
 		case errors.Is(err, damasktrail.ErrUnchanged):
-			c.confirm(start)
+			// The directory has waited, so its word is no older than the wait.
+			c.confirm(max(start, min(start+tableWait, c.uptime())))
 			f.succeeded(f.revision)
 		default:
 			f.failed(ctx, err, c.wake)
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -51,12 +51,14 @@
 	sends int
 	// mayHaveRun says that an endpoint may have begun to run it.
 	mayHaveRun bool
-	// answered is the first byte's time after the arrival.
+	// firstByte is the time from the arrival to the first byte of the answer.
 	firstByte time.Duration
+	// events is the number of events that were passed on.
+	events int
 	// waited is the time spent waiting for places.
 	waited time.Duration
-	// avoid is the endpoint of the last attempt.
-	avoid string
+	// endpoint is that of the last attempt, avoid that of the last that failed.
+	endpoint, avoid string
 }
 
 // status is a refusal with the HTTP status that it is told with.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"damasktrail.dev/exchange"
 	"damasktrail.dev/group"
 	"damasktrail.dev/quota"
+	"damasktrail.dev/routing"
 	"damasktrail.dev/suspect"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/upstream"
@@ -67,6 +68,9 @@
 	callers   *http.Server
 	readiness *http.Server
 
+	// table is the routing table that the parts work with; the catalog's changes
+	// come one at a time.
+	table *routing.Table
 	// open counts requests in progress.
 	open atomic.Int64
 	// draining is the time at which the shutdown began, zero before.
@@ -156,7 +160,9 @@
 
 // adopt takes a new snapshot of the catalog.
 func (g *Gateway) adopt(s catalog.Snapshot) {
-	if s.Table != nil {
+	if s.Table != nil && s.Table != g.table {
+		g.logQuotas(s.Table)
+		g.table = s.Table
 		g.quotas.SetTable(s.Table, g.clock.Now())
 	}
 	g.scheduler.SetEndpoints(s.Endpoints)
@@ -164,6 +170,18 @@
 	g.exchange.Changed()
 }
 
+// logQuotas writes a line for each quota that changes.
+func (g *Gateway) logQuotas(t *routing.Table) {
+	for _, o := range t.Organisations() {
+		if g.table != nil {
+			if old, found := g.table.Named(o.Name); found && old.Rate == o.Rate && old.Burst == o.Burst {
+				continue
+			}
+		}
+		g.log.Info("quota in force", "organisation", o.Name, "rate", o.Rate, "burst", o.Burst, "tokens", o.Tokens, "table", t.Version)
+	}
+}
+
 // Ready reports whether callers should come, and why not.
 func (g *Gateway) Ready() (ok bool, reason string) {
 	s := g.catalog.Snapshot()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -105,6 +105,7 @@
 			r.head(a)
 		}
 		r.events += b.count
+		r.call.events += b.count
 		r.ended = now
 		if b.last != "" {
 			r.last = b.last
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -88,6 +88,7 @@
 // send sends the request to the endpoint of the grant.
 func (c *call) send(ctx context.Context, grant *dispatch.Grant, last string) (*upstream.Answer, error) {
 	g := c.g
+	c.endpoint = grant.Endpoint.ID
 	header := g.dialect.Forward(c.request.Header, damasktrail.Dispatch{
 		Endpoint:     grant.Endpoint.ID,
 		Organisation: c.organisation.Name,
@@ -242,7 +243,7 @@
 	whole := c.g.clock.Now().Sub(c.arrived)
 	attrs := []any{
 		"id", c.fields.ID, "outcome", outcome, "status", code, "route", c.route.Name, "service", c.target, "organisation", c.organisation.Name,
-		"tier", c.tier, "endpoint", c.avoid, "sends", c.sends, "ran", c.mayHaveRun, "wait", c.waited, "first", c.firstByte, "whole", whole,
+		"tier", c.tier, "endpoint", c.endpoint, "prompt", c.fields.Prompt, "output", c.fields.Output, "sends", c.sends, "ran", c.mayHaveRun, "wait", c.waited, "first", c.firstByte, "whole", whole, "events", c.events,
 	}
 	if r != nil {
 		attrs = append(attrs, "reason", r.Reason, "detail", r.Detail, "retry", r.RetryAfter)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -110,11 +110,17 @@
 }
 
 // Learn takes what a peer has admitted. The peer's name includes its
-// incarnation, so that its sums never fall but for what it gives back.
+// incarnation, so that its sums never fall but for what it gives back. The first
+// report of a peer is the base of later ones: what it admitted before this entry
+// knew it has been paid for by time that this entry has not seen either.
 func (l *Ledger) Learn(peer string, usage Usage, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.seen[peer]
+	before, known := l.seen[peer]
+	l.seen[peer] = usage
+	if !known {
+		return
+	}
 	for name, admitted := range usage {
 		b := l.buckets[name]
 		if b == nil || b.rate <= 0 {
@@ -123,7 +129,6 @@
 		b.fill(now)
 		b.level = min(b.burst, b.level-(admitted-before[name]))
 	}
-	l.seen[peer] = usage
 }
 
 // Forget drops what is known of a peer that is gone.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -232,6 +232,15 @@
 	return t.organisations[i], true
 }
 
+// Named returns the organisation of that name.
+func (t *Table) Named(name string) (Organisation, bool) {
+	i := slices.IndexFunc(t.organisations, func(o Organisation) bool { return o.Name == name })
+	if i < 0 {
+		return Organisation{}, false
+	}
+	return t.organisations[i], true
+}
+
 // Organisations returns all organisations; the slice must not be changed.
 func (t *Table) Organisations() []Organisation { return t.organisations }
 
