--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -183,7 +183,7 @@
 			cost = float64(c.fields.Prompt + c.fields.Output)
 		}
 	}
-	wait, ok := g.quotas.Admit(c.organisation.Name, cost, now)
+	wait, ok := g.quotas.Admit(c.organisation.Name, c.route.Tier, cost, now)
 	if !ok {
 		return deny(http.StatusTooManyRequests, damasktrail.ReasonLimit, wait, "the organisation's quota is used up")
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -66,9 +66,23 @@
 	l.buckets = next
 }
 
-// Admit takes cost from the quota of an organisation. When there is not enough
-// it takes nothing and returns the time until there is.
-func (l *Ledger) Admit(organisation string, cost float64, now time.Time) (wait time.Duration, ok bool) {
+// reserve is the part of the burst that a tier leaves to the tiers above it. It
+// answers an organisation that asks for more than its quota: what the quota
+// allows then goes to its urgent requests first.
+func reserve(tier int) float64 {
+	switch {
+	case tier <= 0:
+		return 0
+	case tier == 1:
+		return 0.1
+	}
+	return 0.25
+}
+
+// Admit takes cost from the quota of an organisation for a request of a route's
+// tier. When there is not enough it takes nothing and returns the time until
+// there is.
+func (l *Ledger) Admit(organisation string, tier int, cost float64, now time.Time) (wait time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[organisation]
@@ -77,7 +91,7 @@
 	}
 	b.fill(now)
 	// A request larger than the burst passes when the bucket is full.
-	need := min(cost, b.burst)
+	need := min(cost+reserve(tier)*b.burst, b.burst)
 	if b.level < need {
 		return time.Duration((need - b.level) / b.rate * float64(time.Second)), false
 	}
