Send a resumable stream again after a failure of its replica

Change: such a stream is sent to another endpoint like an idempotent request, within its attempts and the retry budget.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,7 +10,6 @@
 
 	"damasktrail.dev"
 	"damasktrail.dev/dispatch"
-	"damasktrail.dev/routing"
 	"damasktrail.dev/upstream"
 )
 
@@ -126,7 +125,7 @@
 		err := errors.New("answer has an encoding that nobody asked for")
 		return c.lost(ctx, grant, err), c.unknown(ctx, err)
 	}
-	if a.Status >= http.StatusInternalServerError && c.route.Kind == routing.Idempotent && c.mayRepeat() {
+	if a.Status >= http.StatusInternalServerError && !out.begun && c.route.Repeatable() && c.mayRepeat() {
 		_, _ = io.Copy(io.Discard, a)
 		grant.Done(dispatch.Failed, 0)
 		c.retried(grant, damasktrail.ReasonCrashed, nil)
