--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -33,7 +33,7 @@
 	lapseGrace = 2300 * time.Millisecond
 	// repairInterval is the longest time between two whole reads of a value. A
 	// watch that missed a change without an error is repaired by the next one.
-	repairInterval = 5 * time.Second
+	repairInterval = 30 * time.Second
 )
 
 // Snapshot is the state at one moment. It is immutable.
@@ -60,7 +60,7 @@
 	// confirmed is the uptime at the start of the last call that confirmed the
 	// table; zero before the first.
 	confirmed atomic.Int64
-	// wake ends the wait before a repeated read of the table.
+	// wake holds an element when a peer has a newer table.
 	wake chan struct{}
 
 	// mu guards the making of a new snapshot and the fields below.
@@ -133,7 +133,7 @@
 			c.confirm(max(start, min(start+tableWait, c.uptime())))
 			f.succeeded(f.revision)
 		default:
-			f.failed(ctx, err, c.wake)
+			f.failed(ctx, err)
 		}
 	}
 }
@@ -157,7 +157,7 @@
 		if f.needsWhole() {
 			news, err := c.directory.Endpoints(ctx)
 			if err != nil {
-				f.failed(ctx, err, nil)
+				f.failed(ctx, err)
 				continue
 			}
 			c.replace(news, f.outage, c.clock.Now())
@@ -173,7 +173,7 @@
 			c.expire(c.clock.Now())
 			f.succeeded(f.revision)
 		default:
-			f.failed(ctx, err, nil)
+			f.failed(ctx, err)
 		}
 	}
 }
@@ -333,8 +333,9 @@
 	f.revision = max(f.revision, revision)
 }
 
-// failed waits before the next call, or until wake.
-func (f *follower) failed(ctx context.Context, err error, wake <-chan struct{}) {
+// failed waits before the next call. Peers that hold a newer table do not cut
+// the wait short: they say so many times a second.
+func (f *follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -349,12 +350,5 @@
 		f.log.Warn("directory does not answer", "topic", f.topic, "error", err)
 	}
 	delay := min(firstBackoff<<min(f.failures-1, 10), maxBackoff)
-	woken := make(chan struct{})
-	cancel := f.clock.Schedule(delay, func(time.Time) { close(woken) })
-	defer cancel()
-	select {
-	case <-woken:
-	case <-wake:
-	case <-ctx.Done():
-	}
+	_ = f.clock.Sleep(ctx, delay)
 }
