Close the metrics listener at shutdown

The line "stopped" came after 3.1 s, and only the listener that admin.Listen had started was still open.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"os/signal"
 	"strconv"
@@ -111,15 +111,13 @@
 		log.Error("listener failed", "error", err)
 		_ = stop.Shutdown(fx.ExitCode(1))
 	}
+	var metrics *admin.Server
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
+		OnStart: func(context.Context) (err error) {
 			tasks.Go(func(ctx context.Context) { reload(ctx, o, s, log) })
 			if o.Metrics > 0 {
 				address := net.JoinHostPort(s.Address, strconv.Itoa(o.Metrics))
-				if _, err := netip.ParseAddrPort(address); err != nil {
-					return err
-				}
-				if _, err := admin.Listen(address, m.Handler(), tasks, failed); err != nil {
+				if metrics, err = admin.Listen(address, m.Handler(), tasks, failed); err != nil {
 					return err
 				}
 			}
@@ -128,6 +126,9 @@
 		OnStop: func(ctx context.Context) error {
 			g.Drain(ctx)
 			err := g.Close()
+			if metrics != nil {
+				err = errors.Join(err, metrics.Shutdown(ctx))
+			}
 			log.Info("stopped")
 			tasks.Close()
 			return err
