--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,186 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev"
+	"damasktrail.dev/dispatch"
+	"damasktrail.dev/fleet"
+	"damasktrail.dev/group"
+	"damasktrail.dev/timer"
+)
+
+// play runs f with a scheduler in virtual time.
+func play(t *testing.T, list fleet.List, f func(s *dispatch.Scheduler)) {
+	synctest.Test(t, func(t *testing.T) {
+		tasks := group.New(context.Background())
+		clock := timer.New(tasks)
+		s := dispatch.New(clock, "here", func() {})
+		s.SetEndpoints(list)
+		cancel := clock.Subscribe(20*time.Millisecond, func(time.Time) { s.Tick() })
+		f(s)
+		cancel()
+		tasks.Close()
+	})
+}
+
+func endpoints(n, slots int) fleet.List {
+	res := fleet.List{}
+	for i := range n {
+		res = res.With(fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "llm", Address: "x", Domain: "here", Slots: slots})
+	}
+	return res
+}
+
+func request(tier int) dispatch.Request {
+	return dispatch.Request{Service: "llm", Engine: true, Organisation: "o", Tier: tier, Objective: time.Second, Left: 10 * time.Second, Prompt: 1000}
+}
+
+func acquire(t *testing.T, s *dispatch.Scheduler, r dispatch.Request) *dispatch.Grant {
+	t.Helper()
+	g, refusal := s.Acquire(context.Background(), r)
+	require.Nil(t, refusal)
+	return g
+}
+
+// Guards against a lower tier that is served before a higher one that waits.
+func TestTiersInOrder(t *testing.T) {
+	play(t, endpoints(1, 1), func(s *dispatch.Scheduler) {
+		held := acquire(t, s, request(0))
+		tasks := group.New(context.Background())
+		var order []int
+		for _, tier := range []int{2, 1, 0} {
+			tasks.Go(func(ctx context.Context) {
+				r := request(tier)
+				r.Objective = 5 * time.Second
+				g, refusal := s.Acquire(ctx, r)
+				if refusal == nil {
+					order = append(order, tier)
+					time.Sleep(10 * time.Millisecond)
+					g.Done(dispatch.Answered, 0)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		held.Done(dispatch.Answered, 0)
+		tasks.Wait()
+		require.Equal(t, []int{0, 1, 2}, order)
+	})
+}
+
+// Guards against more requests inside an engine than it has slots, counting
+// those of peers: it would take them in order of arrival, whatever their tier.
+func TestPlaces(t *testing.T) {
+	play(t, endpoints(2, 4), func(s *dispatch.Scheduler) {
+		s.SetOthers(dispatch.Others{Holds: map[string]dispatch.Hold{"e0": {Requests: 3}}})
+		count := map[string]int{}
+		for range 5 {
+			count[acquire(t, s, request(0)).Endpoint.ID]++
+		}
+		require.Equal(t, map[string]int{"e0": 1, "e1": 4}, count)
+		_, refusal := s.Acquire(context.Background(), request(0))
+		require.Equal(t, damasktrail.ReasonDeadline, refusal.Reason)
+		require.Equal(t, damasktrail.NotRun, refusal.Outcome)
+		require.NotZero(t, refusal.RetryAfter)
+	})
+}
+
+// Guards against taking the last free place from a higher tier that waits at a
+// peer.
+func TestYieldsToPeers(t *testing.T) {
+	play(t, endpoints(1, 2), func(s *dispatch.Scheduler) {
+		held := acquire(t, s, request(0))
+		defer held.Done(dispatch.Answered, 0)
+		s.SetOthers(dispatch.Others{Waiting: map[string]map[int]int{"llm": {0: 1}}})
+		_, refusal := s.Acquire(context.Background(), request(1))
+		require.NotNil(t, refusal)
+		acquire(t, s, request(0)).Done(dispatch.Answered, 0)
+		s.SetOthers(dispatch.Others{})
+		acquire(t, s, request(1)).Done(dispatch.Answered, 0)
+	})
+}
+
+// Guards against new work for an endpoint that leaves or is gone.
+func TestLeaving(t *testing.T) {
+	play(t, endpoints(2, 4), func(s *dispatch.Scheduler) {
+		list := endpoints(2, 4)
+		e, _ := list.Find("e0")
+		e.State = fleet.Leaving
+		s.SetEndpoints(list.With(e))
+		for range 4 {
+			require.Equal(t, "e1", acquire(t, s, request(0)).Endpoint.ID)
+		}
+		s.SetEndpoints(fleet.List{})
+		_, refusal := s.Acquire(context.Background(), request(0))
+		require.Equal(t, damasktrail.ReasonNotReady, refusal.Reason)
+	})
+}
+
+// Guards against an endpoint that gets all requests because it fails fast.
+func TestBrokenIsLeftOut(t *testing.T) {
+	play(t, endpoints(2, 4), func(s *dispatch.Scheduler) {
+		broken := acquire(t, s, request(0))
+		broken.Done(dispatch.Broken, 0)
+		for range 4 {
+			require.NotEqual(t, broken.Endpoint.ID, acquire(t, s, request(0)).Endpoint.ID)
+		}
+	})
+}
+
+// Guards against an endpoint that is never tried again, and against one that
+// gets more than one request before it has answered.
+func TestBrokenIsTriedAgain(t *testing.T) {
+	play(t, endpoints(1, 4), func(s *dispatch.Scheduler) {
+		acquire(t, s, request(0)).Done(dispatch.Broken, 0)
+		first := acquire(t, s, request(0))
+		_, refusal := s.Acquire(context.Background(), request(0))
+		require.NotNil(t, refusal, "one request at a time tries it")
+		first.Done(dispatch.Answered, 0)
+		second, third := acquire(t, s, request(0)), acquire(t, s, request(0))
+		second.Done(dispatch.Answered, 0)
+		third.Done(dispatch.Answered, 0)
+	})
+}
+
+// Guards against sending more requests to an endpoint that answers nothing.
+func TestStuck(t *testing.T) {
+	play(t, endpoints(1, 4), func(s *dispatch.Scheduler) {
+		g := acquire(t, s, request(0))
+		time.Sleep(2 * time.Second)
+		_, refusal := s.Acquire(context.Background(), request(0))
+		require.NotNil(t, refusal)
+		g.Started()
+		acquire(t, s, request(0))
+	})
+}
+
+// Guards against waiting for a place for a caller that has left.
+func TestCancelled(t *testing.T) {
+	play(t, endpoints(1, 1), func(s *dispatch.Scheduler) {
+		held := acquire(t, s, request(0))
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, refusal := s.Acquire(ctx, request(0))
+		require.Equal(t, damasktrail.ReasonCancelled, refusal.Reason)
+		held.Done(dispatch.Answered, 0)
+		acquire(t, s, request(0)).Done(dispatch.Answered, 0)
+	})
+}
+
+// Guards against a request that waits until it is useless.
+func TestRefusedInTime(t *testing.T) {
+	play(t, endpoints(1, 1), func(s *dispatch.Scheduler) {
+		held := acquire(t, s, request(0))
+		defer held.Done(dispatch.Answered, 0)
+		start := time.Now()
+		_, refusal := s.Acquire(context.Background(), request(0))
+		require.NotNil(t, refusal)
+		require.LessOrEqual(t, time.Since(start), time.Second)
+	})
+}
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,161 @@
+package exchange_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/dispatch"
+	"damasktrail.dev/exchange"
+	"damasktrail.dev/group"
+	"damasktrail.dev/quota"
+	"damasktrail.dev/timer"
+)
+
+// owner is a fake that keeps what it is told.
+type owner struct {
+	mu     sync.Mutex
+	state  exchange.State
+	others dispatch.Others
+	learnt map[string]exchange.State
+	gone   []string
+}
+
+func (o *owner) State() exchange.State {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state
+}
+
+func (o *owner) Learn(peer string, s exchange.State) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.learnt == nil {
+		o.learnt = map[string]exchange.State{}
+	}
+	o.learnt[peer] = s
+}
+
+func (o *owner) Forget(peer string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.gone = append(o.gone, peer)
+}
+
+func (o *owner) SetOthers(others dispatch.Others) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.others = others
+}
+
+func (o *owner) held() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.others.Holds["e"].Requests
+}
+
+// node is one entry's exchange.
+type node struct {
+	*exchange.Exchange
+	owner *owner
+	tasks *group.Group
+}
+
+func start(t *testing.T, name, address string, seeds ...string) *node {
+	t.Helper()
+	tasks := group.New(context.Background())
+	o := &owner{}
+	x, err := exchange.New(name, address, seeds, 1, o, timer.New(tasks), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	x.Start(tasks)
+	t.Cleanup(tasks.Close)
+	return &node{Exchange: x, owner: o, tasks: tasks}
+}
+
+// address returns a free one.
+func address(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// Guards against entries that do not find each other through one seed, and
+// against sums that leave a peer out.
+func TestShares(t *testing.T) {
+	seed := address(t)
+	a := start(t, "a", seed, seed)
+	b := start(t, "b", address(t), seed)
+	c := start(t, "c", address(t), seed)
+	for i, n := range []*node{a, b, c} {
+		n.owner.mu.Lock()
+		n.owner.state = exchange.State{
+			Table: 7, Usage: quota.Usage{"o": float64(i)},
+			Dispatch: dispatch.Report{Holds: map[string]dispatch.Hold{"e": {Requests: 1 + i, Prompt: 10}}, Waiting: map[string]map[int]int{"s": {2: 1}}},
+		}
+		n.owner.mu.Unlock()
+		n.Changed()
+	}
+	require.Eventually(t, func() bool {
+		return a.owner.held() == 5 && b.owner.held() == 4 && c.owner.held() == 3
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Equal(t, []string{"b", "c"}, a.Peers())
+	a.owner.mu.Lock()
+	defer a.owner.mu.Unlock()
+	require.Equal(t, 2, a.owner.others.Waiting["s"][2])
+	require.Equal(t, uint64(7), a.owner.learnt["b/1"].Table)
+	require.Equal(t, quota.Usage{"o": 2}, a.owner.learnt["c/1"].Usage)
+}
+
+// Guards against places that a peer takes for ever after it has gone silent.
+func TestSilentPeer(t *testing.T) {
+	seed := address(t)
+	a := start(t, "a", seed, seed)
+	b := start(t, "b", address(t), seed)
+	b.owner.mu.Lock()
+	b.owner.state.Dispatch = dispatch.Report{Holds: map[string]dispatch.Hold{"e": {Requests: 3}}}
+	b.owner.mu.Unlock()
+	b.Changed()
+	require.Eventually(t, func() bool { return a.owner.held() == 3 }, 5*time.Second, 10*time.Millisecond)
+	b.tasks.Close()
+	require.Eventually(t, func() bool { return a.owner.held() == 0 && len(a.Peers()) == 0 }, 5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against an older report that replaces a newer one, against datagrams
+// that are no reports, and against a peer's new start that keeps its old sums.
+func TestOldReports(t *testing.T) {
+	a := start(t, "a", address(t))
+	conn, err := net.Dial("udp4", a.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	send := func(boot, number uint64, held int) {
+		b, err := cbor.Marshal(map[int]any{1: "b", 2: boot, 3: number, 5: map[string][2]int{"e": {held, 0}}})
+		require.NoError(t, err)
+		_, err = conn.Write(b)
+		require.NoError(t, err)
+	}
+	is := func(held int) {
+		t.Helper()
+		require.Eventually(t, func() bool { return a.owner.held() == held }, 5*time.Second, time.Millisecond)
+	}
+	send(5, 2, 2)
+	is(2)
+	send(5, 1, 9)
+	_, err = conn.Write([]byte("no report"))
+	require.NoError(t, err)
+	send(5, 3, 3)
+	is(3)
+	send(6, 1, 1)
+	is(1)
+	a.owner.mu.Lock()
+	defer a.owner.mu.Unlock()
+	require.Equal(t, []string{"b/5"}, a.owner.gone)
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,50 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/fleet"
+)
+
+// Guards against a changed copy that changes the list that it was made of.
+func TestListIsImmutable(t *testing.T) {
+	one := fleet.Of(fleet.Endpoint{ID: "a"})
+	two := one.With(fleet.Endpoint{ID: "b"})
+	three := two.Without("a")
+	require.Equal(t, []int{1, 2, 1}, []int{one.Len(), two.Len(), three.Len()})
+	_, found := two.Find("a")
+	require.True(t, found)
+	require.Equal(t, 1, fleet.List{}.With(fleet.Endpoint{ID: "a"}).Len())
+}
+
+// Guards against taking an endpoint that started again, or another one at its
+// address, for the one before.
+func TestSame(t *testing.T) {
+	e := fleet.Endpoint{ID: "a", Address: "x:1", Born: 5}
+	for _, c := range []struct {
+		other fleet.Endpoint
+		want  bool
+	}{
+		{fleet.Endpoint{ID: "a", Address: "x:1", Born: 5, State: fleet.Leaving}, true},
+		{fleet.Endpoint{ID: "a", Address: "x:1"}, true},
+		{fleet.Endpoint{ID: "a", Address: "x:1", Born: 6}, false},
+		{fleet.Endpoint{ID: "a", Address: "x:2", Born: 5}, false},
+		{fleet.Endpoint{ID: "b", Address: "x:1", Born: 5}, false},
+	} {
+		require.Equal(t, c.want, e.Same(c.other), "%+v", c.other)
+	}
+}
+
+// Example changes a list.
+func Example() {
+	l := fleet.Of(fleet.Endpoint{ID: "b"}, fleet.Endpoint{ID: "a"})
+	for _, e := range l.Without("b").With(fleet.Endpoint{ID: "c"}).All() {
+		fmt.Println(e.ID)
+	}
+	// Output:
+	// a
+	// c
+}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,302 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev"
+	"damasktrail.dev/fleet"
+	"damasktrail.dev/gateway"
+	"damasktrail.dev/group"
+	"damasktrail.dev/platform"
+	"damasktrail.dev/routing"
+	"damasktrail.dev/telemetry"
+	"damasktrail.dev/timer"
+)
+
+// directory is a fake with the values of one moment.
+type directory struct {
+	mu        sync.Mutex
+	table     *routing.Table
+	endpoints fleet.List
+	revision  uint64
+	down      bool
+}
+
+func (d *directory) change(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f()
+	d.revision++
+}
+
+func (d *directory) Table(context.Context) (damasktrail.TableNews, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down {
+		return damasktrail.TableNews{}, io.ErrUnexpectedEOF
+	}
+	return damasktrail.TableNews{Table: d.table, Revision: d.revision}, nil
+}
+
+func (d *directory) Endpoints(context.Context) (damasktrail.EndpointNews, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	res := damasktrail.EndpointNews{Revision: d.revision}
+	for _, e := range d.endpoints.All() {
+		res.Changes = append(res.Changes, damasktrail.EndpointChange{Endpoint: e})
+	}
+	return res, nil
+}
+
+func (d *directory) wait(ctx context.Context, after uint64, wait time.Duration) error {
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		d.mu.Lock()
+		news, down := d.revision > after, d.down
+		d.mu.Unlock()
+		if down {
+			return io.ErrUnexpectedEOF
+		}
+		if news {
+			return nil
+		}
+	}
+	return damasktrail.ErrUnchanged
+}
+
+func (d *directory) WatchTable(ctx context.Context, after uint64, wait time.Duration) (damasktrail.TableNews, error) {
+	if err := d.wait(ctx, after, wait); err != nil {
+		return damasktrail.TableNews{}, err
+	}
+	return d.Table(ctx)
+}
+
+func (d *directory) WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (damasktrail.EndpointNews, error) {
+	if err := d.wait(ctx, after, wait); err != nil {
+		return damasktrail.EndpointNews{}, err
+	}
+	return d.Endpoints(ctx)
+}
+
+// replica is a fake endpoint that counts the ids that it ran.
+type replica struct {
+	*httptest.Server
+	mu   sync.Mutex
+	runs map[string]int
+	last *http.Request
+	// handler answers after the run is counted.
+	handler http.HandlerFunc
+}
+
+func newReplica(t *testing.T, handler http.HandlerFunc) *replica {
+	t.Helper()
+	p := &replica{runs: map[string]int{}, handler: handler}
+	p.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Attempt-Id")
+		body, _ := io.ReadAll(r.Body)
+		p.mu.Lock()
+		p.runs[id]++
+		p.last = r.Clone(context.Background())
+		p.last.Body = io.NopCloser(strings.NewReader(string(body)))
+		p.mu.Unlock()
+		w.Header().Set("Attempt-Id", id)
+		w.Header().Set("Response-Signature", "sig-"+id)
+		p.handler(w, r)
+	}))
+	t.Cleanup(p.CloseClientConnections)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func (p *replica) ran(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[id]
+}
+
+func (p *replica) seen() *http.Request {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
+// whole answers with one body.
+func whole(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, body) }
+}
+
+// refuses says that the request has not run.
+func refuses(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Del("Response-Signature")
+		w.WriteHeader(status)
+	}
+}
+
+// cuts closes the connection without an answer.
+func cuts(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
+
+// streams sends events from the one after the caller's last to the given number,
+// and breaks off after the given event unless it is zero.
+func streams(events, breaks int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		first := 1
+		if last := r.Header.Get("Last-Event-Id"); last != "" {
+			_, _ = fmt.Sscan(last, &first)
+			first++
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := first; i <= events; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+			if i == breaks {
+				fmt.Fprintf(w, "id: %d\nda", i+1)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
+// eventsOf returns the text of events in order.
+func eventsOf(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// site is a gateway before fake replicas of the service s.
+type site struct {
+	*directory
+	gateway  *gateway.Gateway
+	settings gateway.Settings
+	t        *testing.T
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// routes are those of each kind, at /KIND/, to the service s.
+func routes() []routing.Route {
+	route := func(name string, kind routing.Kind, resume bool) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Attempts: 2, Resume: resume,
+			Timeout: 3 * time.Second, Objective: time.Second, Targets: []routing.Target{{Service: "s", Weight: 1}},
+		}
+	}
+	open := route("open", routing.Idempotent, false)
+	open.Anonymous = true
+	return []routing.Route{
+		open,
+		route("read", routing.Idempotent, false),
+		route("send", routing.NonIdempotent, false),
+		route("stream", routing.Streaming, false),
+		route("resume", routing.Streaming, true),
+	}
+}
+
+func organisations() []routing.Organisation {
+	return []routing.Organisation{
+		{Name: "acme", Keys: []string{"key"}},
+		{Name: "small", Keys: []string{"small"}, Rate: 1, Burst: 100, Tokens: true, Uncounted: 10},
+	}
+}
+
+func (s *site) setTable(version uint64, o []routing.Organisation) {
+	table, err := routing.New(version, routing.Limits{Body: 1 << 20}, routes(), []routing.Service{{Name: "s"}}, o)
+	require.NoError(s.t, err)
+	s.change(func() { s.table = table })
+}
+
+func start(t *testing.T, replicas ...*replica) *site {
+	t.Helper()
+	s := &site{directory: &directory{}, t: t}
+	s.setTable(1, organisations())
+	for i, p := range replicas {
+		s.endpoints = s.endpoints.With(fleet.Endpoint{
+			ID: fmt.Sprint("e", i), Service: "s", Address: strings.TrimPrefix(p.URL, "http://"), Domain: "d", Slots: 4,
+		})
+	}
+	s.settings = gateway.Settings{
+		Name: "entry", Domain: "d", Callers: free(t), Ready: free(t), Peers: free(t), Directory: "127.0.0.1:1",
+		Grace: 4 * time.Second, Revocation: 3 * time.Second, Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56, Window: 10 * time.Second},
+	}
+	tasks := group.New(context.Background())
+	m, err := telemetry.New("gateway")
+	require.NoError(t, err)
+	s.gateway, err = gateway.New(s.settings, s.directory, platform.Dialect{}, timer.New(tasks), timer.Uptime, 1, tasks, m, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	require.NoError(t, s.gateway.Start(func(err error) { t.Error(err) }))
+	t.Cleanup(func() {
+		require.NoError(t, s.gateway.Close())
+		tasks.Close()
+	})
+	require.Eventually(t, s.ready, 5*time.Second, 5*time.Millisecond)
+	return s
+}
+
+// ready asks as the balancer does.
+func (s *site) ready() bool {
+	r, err := http.Get("http://" + s.settings.Ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err is set when the answer did not come whole.
+	err error
+}
+
+// ask sends a request as a caller of acme, with more header fields as pairs.
+func (s *site) ask(path, id, body string, fields ...string) reply {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.settings.Callers+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	r.Host = "h"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("X-Api-Key", "key")
+	r.Header.Set("Deadline-Ms", "2000")
+	for i := 0; i < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer answer.Body.Close()
+	b, err := io.ReadAll(answer.Body)
+	return reply{status: answer.StatusCode, header: answer.Header, body: string(b), err: err}
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,124 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/quota"
+	"damasktrail.dev/routing"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func table(t testing.TB, organisations ...routing.Organisation) *routing.Table {
+	t.Helper()
+	res, err := routing.New(1, routing.Limits{}, nil, nil, organisations)
+	require.NoError(t, err)
+	return res
+}
+
+func ledger(t testing.TB) *quota.Ledger {
+	l := quota.New()
+	l.SetTable(table(t, routing.Organisation{Name: "a", Rate: 100, Burst: 200}, routing.Organisation{Name: "free"}), epoch)
+	return l
+}
+
+// Guards against more or less than the rate and the burst.
+func TestAdmit(t *testing.T) {
+	l := ledger(t)
+	_, ok := l.Admit("a", 0, 200, epoch)
+	require.True(t, ok)
+	wait, ok := l.Admit("a", 0, 50, epoch)
+	require.False(t, ok)
+	require.Equal(t, 500*time.Millisecond, wait)
+	_, ok = l.Admit("a", 0, 50, epoch.Add(500*time.Millisecond))
+	require.True(t, ok)
+	for range 1000 {
+		_, ok = l.Admit("free", 0, 1e6, epoch)
+		require.True(t, ok)
+	}
+	admitted := 0.0
+	for i := range 10_000 {
+		if _, ok := l.Admit("a", 0, 7, epoch.Add(time.Second+time.Duration(i)*time.Millisecond)); ok {
+			admitted += 7
+		}
+	}
+	require.InDelta(t, 1050, admitted, 60)
+}
+
+// Guards against a request larger than the burst that is never admitted.
+func TestLargerThanBurst(t *testing.T) {
+	l := ledger(t)
+	_, ok := l.Admit("a", 2, 1000, epoch)
+	require.True(t, ok)
+	_, ok = l.Admit("a", 0, 1, epoch.Add(7*time.Second))
+	require.False(t, ok, "the debt is not paid")
+	_, ok = l.Admit("a", 0, 1, epoch.Add(9*time.Second))
+	require.True(t, ok)
+}
+
+// Guards against a quota that routine requests use up while urgent ones of the
+// same organisation are refused: it plays an organisation that asks for three
+// times its quota, half of it urgent.
+func TestReserve(t *testing.T) {
+	l := ledger(t)
+	served := map[int]float64{}
+	for i := range 6000 {
+		tier := 2 * (i % 2)
+		if _, ok := l.Admit("a", tier, 0.5, epoch.Add(time.Duration(i)*time.Second/600)); ok {
+			served[tier] += 0.5
+		}
+	}
+	require.InDelta(t, 1150, served[0]+served[2], 60, "the quota is used")
+	require.Greater(t, served[0], 0.8*(served[0]+served[2]))
+}
+
+// Guards against a process that starts late and takes all that its peers ever
+// admitted from its quotas: it then refused requests for many seconds.
+func TestFirstReportIsTheBase(t *testing.T) {
+	l := ledger(t)
+	l.Learn("peer/1", quota.Usage{"a": 1e6}, epoch)
+	_, ok := l.Admit("a", 0, 100, epoch)
+	require.True(t, ok)
+	l.Learn("peer/1", quota.Usage{"a": 1e6 + 100}, epoch)
+	_, ok = l.Admit("a", 0, 1, epoch)
+	require.False(t, ok, "what the peer admitted since does not count")
+}
+
+// Guards against paying for requests that were not run.
+func TestReturn(t *testing.T) {
+	l := ledger(t)
+	_, ok := l.Admit("a", 0, 200, epoch)
+	require.True(t, ok)
+	l.Return("a", 200)
+	require.Empty(t, l.Usage())
+	_, ok = l.Admit("a", 0, 200, epoch)
+	require.True(t, ok)
+}
+
+// Guards against a lower quota that takes effect only when the old level is used
+// up.
+func TestLowerQuota(t *testing.T) {
+	l := ledger(t)
+	l.SetTable(table(t, routing.Organisation{Name: "a", Rate: 10, Burst: 20}), epoch)
+	_, ok := l.Admit("a", 0, 15, epoch)
+	require.True(t, ok)
+	_, ok = l.Admit("a", 0, 15, epoch)
+	require.False(t, ok)
+}
+
+// Example admits requests of an organisation.
+func Example() {
+	l := quota.New()
+	t, _ := routing.New(1, routing.Limits{}, nil, nil, []routing.Organisation{{Name: "acme", Rate: 10, Burst: 20}})
+	now := time.Unix(0, 0)
+	l.SetTable(t, now)
+	fmt.Println(l.Admit("acme", 0, 20, now))
+	fmt.Println(l.Admit("acme", 0, 5, now))
+	// Output:
+	// 0s true
+	// 500ms false
+}
--- /dev/null
+++ b/telemetry/sink_test.go
@@ -0,0 +1,55 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/group"
+	"damasktrail.dev/telemetry"
+)
+
+// Guards against a log reader that stops reading and blocks requests: lines
+// beyond the bound are dropped and counted.
+func TestSinkNeverBlocks(t *testing.T) {
+	tasks := group.New(context.Background())
+	reader, writer := io.Pipe()
+	s := telemetry.NewSink(writer, tasks)
+	log := telemetry.Logger(s, "gateway", slog.LevelInfo)
+	for i := range 5000 {
+		log.Info("request ended", "number", i)
+	}
+	require.Greater(t, s.Dropped(), int64(3000))
+	require.Less(t, s.Dropped(), int64(4500))
+	require.NoError(t, reader.Close())
+	tasks.Close()
+}
+
+// lockedBuffer is a buffer for one writer and one reader.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// Guards against the loss of the last lines of a process.
+func TestSinkFlushes(t *testing.T) {
+	tasks := group.New(context.Background())
+	var out lockedBuffer
+	log := telemetry.Logger(telemetry.NewSink(&out, tasks), "gateway", slog.LevelInfo)
+	for range 100 {
+		log.Info("stopped")
+	}
+	tasks.Close()
+	require.Equal(t, 100, bytes.Count(out.b.Bytes(), []byte("gateway: stopped")))
+}
