Explain a request from its log lines with damasktrail trace

Cause: an engineer with only logs had no way from a request's id to its cause. Change: a line for each send with what decided the endpoint, the table's version and age on the last line, the VM's name on all; damasktrail trace ID finds the lines in several files and says the cause in a sentence.

--- a/cmd/damasktrail/main.go
+++ b/cmd/damasktrail/main.go
@@ -50,6 +50,7 @@
 		{"check", "Check a document", "Reads a document and lists all its problems.", &check{out: out}},
 		{"diff", "Compare two documents", "Lists the changes that lead from document A to document B.", &diff{out: out}},
 		{"status", "Show entries and agents", "Reads the operators' listeners at the given addresses (host:port) and lists what the processes say of themselves.", &status{out: out, problems: problems}},
+		{"trace", "Explain a request", "Finds the lines of the request with the given id in log files, or on standard input, and says how it ended and why.", &tracing{in: os.Stdin, out: out}},
 		{"keys", "Make development certificates", "Makes a development authority where there is none, and a certificate of it for one process.", &keys{out: out}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -85,12 +85,12 @@
 	return s, err
 }
 
-func newLogger(o options, s *telemetry.Sink) (*slog.Logger, error) {
+func newLogger(o options, settings gateway.Settings, s *telemetry.Sink) (*slog.Logger, error) {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(o.Level)); err != nil {
 		return nil, err
 	}
-	return telemetry.Logger(s, "gateway", level), nil
+	return telemetry.Logger(s, "gateway", level).With("vm", settings.Name), nil
 }
 
 func newDirectory(s gateway.Settings) damasktrail.Directory {
--- /dev/null
+++ b/cmd/gateway/main_test.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"gateway": main})
+}
+
+// Guards against a process that starts with a wrong setting, or that does not
+// name it in one line.
+func TestSettings(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/script"})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -153,11 +153,23 @@
 	granted chan *Grant
 }
 
+// Choice is what was known of an endpoint when it was chosen.
+type Choice struct {
+	// Own and Peers are the requests that it held for this entry and for others.
+	Own, Peers int
+	// Pace is the mean time between the events of its streams, zero when unknown.
+	Pace time.Duration
+	// Free is the number of endpoints that had a free place.
+	Free int
+}
+
 // Grant is a place at an endpoint. It is used by one goroutine and must be ended
 // by Done.
 type Grant struct {
 	// Endpoint is where the request goes.
 	Endpoint fleet.Endpoint
+	// Choice is what decided it.
+	Choice Choice
 
 	scheduler *Scheduler
 	service   *service
@@ -396,13 +408,17 @@
 			return
 		}
 		w := it.Value
-		e := s.choose(v, w.request, now)
+		e, free := s.choose(v, w.request, now)
 		if e == nil {
 			// Not reached while mayPlace and choose agree on what is free.
 			_, _ = v.waiting.Push(it, now)
 			return
 		}
 		g := &Grant{Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, since: now}
+		g.Choice = Choice{
+			Own: len(e.grants), Peers: s.others.Holds[e.ID].Requests,
+			Pace: time.Duration(e.pace * float64(time.Second)), Free: free,
+		}
 		e.grants[g] = struct{}{}
 		w.granted <- g
 	}
@@ -437,8 +453,9 @@
 }
 
 // choose returns the endpoint with a free place at which the first byte is
-// expected the soonest, nil when there is none.
-func (s *Scheduler) choose(v *service, r Request, now time.Time) *endpoint {
+// expected the soonest, nil when there is none, and the number of endpoints with
+// a free place.
+func (s *Scheduler) choose(v *service, r Request, now time.Time) (best *endpoint, count int) {
 	fastest := math.Inf(1)
 	for _, e := range v.endpoints {
 		if e.pace > 0 {
@@ -452,7 +469,7 @@
 		}
 	}
 	if len(free) == 0 {
-		return nil
+		return nil, 0
 	}
 	work := func(e *endpoint) float64 {
 		slower := 1.0
@@ -470,9 +487,10 @@
 		}
 		return res
 	}
-	return slices.MinFunc(free, func(a, b *endpoint) int {
+	best = slices.MinFunc(free, func(a, b *endpoint) int {
 		return cmp.Or(cmp.Compare(work(a), work(b)), cmp.Compare(a.ID, b.ID))
 	})
+	return best, len(free)
 }
 
 // service returns the service of that name and makes it when absent.
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -35,6 +35,10 @@
 	fields  damasktrail.CallFields
 	route   routing.Route
 	service routing.Service
+	// version is that of the routing table that decided, age the time since it was
+	// last known to be the newest.
+	version uint64
+	age     time.Duration
 	// organisation is empty on an anonymous route.
 	organisation routing.Organisation
 	keyed        bool
@@ -85,7 +89,8 @@
 	if s.Table == nil {
 		return c, deny(http.StatusServiceUnavailable, damasktrail.ReasonNotReady, notReadyRetry, "no routing table yet")
 	}
-	stale := g.catalog.Age() > staleTable
+	c.version, c.age = s.Table.Version, g.catalog.Age()
+	stale := c.age > staleTable
 	unknown := func(code int, reason damasktrail.Reason, detail string) *status {
 		if stale {
 			return deny(http.StatusServiceUnavailable, damasktrail.ReasonNotReady, notReadyRetry, detail+", and the table may be old")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -88,6 +88,8 @@
 func (c *call) send(ctx context.Context, grant *dispatch.Grant, last string) (*upstream.Answer, error) {
 	g := c.g
 	c.endpoint = grant.Endpoint.ID
+	g.log.Info("request sent", "id", c.fields.ID, "endpoint", c.endpoint, "address", grant.Endpoint.Address, "send", c.sends+1, "wait", c.waited,
+		"own", grant.Choice.Own, "peers", grant.Choice.Peers, "pace", grant.Choice.Pace, "free", grant.Choice.Free, "after", last)
 	header := g.dialect.Forward(c.request.Header, damasktrail.Dispatch{
 		Endpoint:     grant.Endpoint.ID,
 		Organisation: c.organisation.Name,
@@ -187,7 +189,7 @@
 func (c *call) retried(grant *dispatch.Grant, reason damasktrail.Reason, err error) {
 	c.avoid = grant.Endpoint.ID
 	c.g.metrics.Retried(reason)
-	c.g.log.Info("request sent again", "id", c.fields.ID, "endpoint", grant.Endpoint.ID, "reason", reason, "sends", c.sends, "error", err)
+	c.g.log.Info("request sent again", "id", c.fields.ID, "endpoint", grant.Endpoint.ID, "reason", reason, "sends", c.sends, "attempts", c.route.Attempts, "error", err)
 }
 
 // unknown returns the status of a request that may have run.
@@ -241,7 +243,7 @@
 func (c *call) ended(outcome string, code int, r *damasktrail.Refusal) {
 	whole := c.g.clock.Now().Sub(c.arrived)
 	attrs := []any{
-		"id", c.fields.ID, "outcome", outcome, "status", code, "route", c.route.Name, "service", c.target, "organisation", c.organisation.Name,
+		"id", c.fields.ID, "table", c.version, "age", c.age, "outcome", outcome, "status", code, "route", c.route.Name, "service", c.target, "organisation", c.organisation.Name,
 		"tier", c.tier, "endpoint", c.endpoint, "prompt", c.fields.Prompt, "output", c.fields.Output, "sends", c.sends, "ran", c.mayHaveRun, "wait", c.waited, "first", c.firstByte, "whole", whole, "events", c.events,
 	}
 	if r != nil {
