--- a/quota/quota.go
+++ b/quota/quota.go
@@ -66,17 +66,22 @@
 	l.buckets = next
 }
 
-// reserve is the part of the burst that a tier leaves to the tiers above it. It
-// answers an organisation that asks for more than its quota: what the quota
-// allows then goes to its urgent requests first.
-func reserve(tier int) float64 {
+// smallCost is the part of the burst up to which a request leaves no reserve: it
+// takes hardly anything from the tiers above it.
+const smallCost = 0.01
+
+// reserve is the part of the burst that a request of a tier leaves to the tiers
+// above it. It answers an organisation that asks for more than its quota: what
+// the quota allows then goes to its urgent requests first, and to those that
+// cost little.
+func reserve(tier int, cost, burst float64) float64 {
 	switch {
-	case tier <= 0:
+	case tier <= 0 || cost <= smallCost*burst:
 		return 0
 	case tier == 1:
-		return 0.1
+		return 0.1 * burst
 	}
-	return 0.25
+	return 0.25 * burst
 }
 
 // Admit takes cost from the quota of an organisation for a request of a route's
@@ -91,7 +96,7 @@
 	}
 	b.fill(now)
 	// A request larger than the burst passes when the bucket is full.
-	need := min(cost+reserve(tier)*b.burst, b.burst)
+	need := min(cost+reserve(tier, cost, b.burst), b.burst)
 	if b.level < need {
 		return time.Duration((need - b.level) / b.rate * float64(time.Second)), false
 	}
