Choose endpoints that fail requests last

Health ejects at most half, from half of failures on. Change: the mean share of failures of an endpoint counts in the choice.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,6 +54,9 @@
 	// farWork is what another failure domain counts in the choice of an endpoint,
 	// in prompt tokens.
 	farWork = 400
+	// failWork is what an endpoint counts that fails all its requests, in prompt
+	// tokens. One that fails fast always has free places.
+	failWork = 40_000
 	// avoidWork is what an endpoint counts that this request was already sent to.
 	avoidWork = 1e6
 	// smoothing is the share of a new sample in a mean.
@@ -127,6 +130,8 @@
 	grants map[*Grant]struct{}
 	// pace is the mean time between events in seconds; zero when unknown.
 	pace float64
+	// failing is the mean share of requests that it answered with a failure.
+	failing float64
 	// paused is the end of a pause.
 	paused time.Time
 	// failures counts broken connections in a row. With one or more, a single
@@ -479,6 +484,7 @@
 		held, others := e.held(), s.others.Holds[e.ID]
 		res := slower * float64(baseWork+r.Prompt+held.Prompt+others.Prompt)
 		res += slower * baseWork * float64(held.Requests+others.Requests) / float64(e.Slots)
+		res += failWork * e.failing
 		if e.Domain != s.domain {
 			res += farWork
 		}
@@ -576,6 +582,7 @@
 	switch result {
 	case Answered:
 		e.failures = 0
+		e.failing -= smoothing * e.failing
 		v.health.Answer(e.ID, 0, now)
 		v.hold += smoothing * (now.Sub(g.since).Seconds() - v.hold)
 		if pace > 0 {
@@ -583,6 +590,7 @@
 		}
 	case Failed:
 		e.failures = 0
+		e.failing += smoothing * (1 - e.failing)
 		v.health.Fail(e.ID, now)
 	case Full:
 		e.paused = now.Add(fullPause)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -148,6 +148,32 @@
 	})
 }
 
+// Guards against endpoints that draw requests because they fail them at once: of
+// four endpoints three fail two requests in five, and the fourth has room for
+// all.
+func TestFailingFast(t *testing.T) {
+	play(t, endpoints(4, 8), func(s *dispatch.Scheduler) {
+		tasks := group.New(context.Background())
+		var failed, asked int
+		for i := range 400 {
+			time.Sleep(100 * time.Millisecond)
+			asked++
+			g := acquire(t, s, request(0))
+			if g.Endpoint.ID != "e3" && i%5 < 2 {
+				failed++
+				g.Done(dispatch.Failed, 0)
+				continue
+			}
+			tasks.Go(func(context.Context) {
+				time.Sleep(500 * time.Millisecond)
+				g.Done(dispatch.Answered, 0)
+			})
+		}
+		tasks.Wait()
+		require.Less(t, failed, asked/20)
+	})
+}
+
 // Guards against sending more requests to an endpoint that answers nothing.
 func TestStuck(t *testing.T) {
 	play(t, endpoints(1, 4), func(s *dispatch.Scheduler) {
