Let one entry have the table confirmed for all; bound the reports of an entry

Change: a report echoes the receiver's last stamp with the age of the sender's table, so the receiver dates its own equal table by its own clock alone; the first live entry by name asks the store, the others only when its word is late. An entry sends at most 400 datagrams a second. Ruled out: hints of the list's revision by peers (a whole read has the store's revision, which other changes move, so entries would drive each other to read).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -18,12 +18,21 @@
 )
 
 const (
-	// tableWait is how long a watch of the table waits for news. Each watch that
-	// ends confirms the table, and a key that was taken away may be used for no
-	// more than a few seconds.
-	tableWait = 900 * time.Millisecond
-	// endpointsWait is how long a watch of the endpoints waits for news.
+	// tableWait is how long a watch of the table waits for news. A watch that hangs
+	// on a connection that has gone silent is ended by a peer with a newer table.
+	tableWait = 6 * time.Second
+	// endpointsWait is how long a watch of the endpoints waits for news. No peer
+	// ends it, and an endpoint that leaves may get requests for two seconds only.
 	endpointsWait = 2500 * time.Millisecond
+	// confirmAfter is the age of the table from which the first entry of a fleet
+	// has it confirmed; each other entry waits confirmStep longer, so that one call
+	// serves all. A key that was taken away may be used for a few seconds only.
+	confirmAfter = 700 * time.Millisecond
+	confirmStep  = 150 * time.Millisecond
+	// maxConfirm bounds the age at which any entry has the table confirmed.
+	maxConfirm = 1600 * time.Millisecond
+	// confirmInterval is the time between two looks at the age.
+	confirmInterval = 50 * time.Millisecond
 	// firstBackoff doubles with each failure in a row, up to maxBackoff.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
@@ -53,6 +62,7 @@
 	log       *slog.Logger
 	// uptime is the time since the machine's start, suspended time included.
 	uptime func() time.Duration
+	tasks  *group.Group
 	// changed is called with each new snapshot, by one goroutine at a time.
 	changed func(Snapshot)
 
@@ -60,8 +70,13 @@
 	// confirmed is the uptime at the start of the last call that confirmed the
 	// table; zero before the first.
 	confirmed atomic.Int64
+	// rank is this entry's place among the live entries of the fleet.
+	rank func() int
 	// wake holds an element when a peer has a newer table.
 	wake chan struct{}
+	// watching is the revision from which the table is watched, zero while calls
+	// for it fail.
+	watching atomic.Uint64
 
 	// mu guards the making of a new snapshot and the fields below.
 	mu sync.Mutex
@@ -72,12 +87,13 @@
 
 // New returns a catalog that is empty until Start. changed is called after each
 // change, before readers see a newer one.
-func New(directory damasktrail.Directory, clock damasktrail.Clock, uptime func() time.Duration, log *slog.Logger, changed func(Snapshot)) *Catalog {
+func New(directory damasktrail.Directory, clock damasktrail.Clock, uptime func() time.Duration, rank func() int, log *slog.Logger, changed func(Snapshot)) *Catalog {
 	res := &Catalog{
 		directory: directory,
 		clock:     clock,
 		log:       log,
 		uptime:    uptime,
+		rank:      rank,
 		changed:   changed,
 		wake:      make(chan struct{}, 1),
 		lapsed:    map[string]time.Time{},
@@ -88,8 +104,10 @@
 
 // Start follows the directory as tasks of the group.
 func (c *Catalog) Start(tasks *group.Group) {
+	c.tasks = tasks
 	tasks.Go(c.followTable)
 	tasks.Go(c.followEndpoints)
+	tasks.Go(c.keepConfirmed)
 }
 
 // Snapshot returns the newest snapshot.
@@ -108,29 +126,69 @@
 // Hint says that a peer holds the table of that version. A newer one than the
 // catalog's is read at once.
 func (c *Catalog) Hint(version uint64) {
-	s := c.Snapshot()
-	if s.Table != nil && s.Table.Version >= version {
-		return
+	if t := c.Snapshot().Table; t == nil || t.Version < version {
+		c.reread()
 	}
+}
+
+// reread ends a watch of the table, so that the table is read whole.
+func (c *Catalog) reread() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
 }
 
+// Confirm says that a peer knew the table of that version to be the newest at the
+// given uptime of this VM. It counts only for the table in force.
+func (c *Catalog) Confirm(version uint64, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.current.Load().Table; t != nil && t.Version == version {
+		c.confirm(at)
+	}
+}
+
+// keepConfirmed has the table confirmed when no peer did it in time.
+func (c *Catalog) keepConfirmed(ctx context.Context) {
+	delay := confirmInterval
+	for c.clock.Sleep(ctx, delay) == nil {
+		delay = confirmInterval
+		due := min(confirmAfter+time.Duration(c.rank())*confirmStep, maxConfirm)
+		revision := c.watching.Load()
+		if revision == 0 || c.Age() < due {
+			continue
+		}
+		start := c.uptime()
+		news, err := c.directory.WatchTable(ctx, revision, time.Millisecond)
+		switch {
+		case err == nil:
+			c.adoptTable(news.Table, start)
+		case errors.Is(err, damasktrail.ErrUnchanged):
+			c.mu.Lock()
+			c.confirm(start)
+			c.mu.Unlock()
+		case errors.Is(err, damasktrail.ErrHistory):
+			c.reread()
+			delay = maxBackoff
+		default:
+			delay = maxBackoff
+		}
+	}
+}
+
 // followTable keeps the table current until ctx ends.
 func (c *Catalog) followTable(ctx context.Context) {
 	f := follower{clock: c.clock, log: c.log, topic: "table"}
 	for ctx.Err() == nil {
 		start := c.uptime()
 		news, err := c.nextTable(ctx, &f)
+		c.watching.Store(0)
 		switch {
 		case err == nil:
 			c.adoptTable(news.Table, start)
 			f.succeeded(news.Revision)
 		case errors.Is(err, damasktrail.ErrUnchanged):
-			// The directory has waited, so its word is no older than the wait.
-			c.confirm(max(start, min(start+tableWait, c.uptime())))
 			f.succeeded(f.revision)
 		default:
 			f.failed(ctx, err)
@@ -139,17 +197,29 @@
 }
 
 func (c *Catalog) nextTable(ctx context.Context, f *follower) (damasktrail.TableNews, error) {
-	select {
-	case <-c.wake:
-		f.whole = true
-	default:
-	}
 	if f.needsWhole() {
 		return c.directory.Table(ctx)
 	}
-	return c.directory.WatchTable(ctx, f.revision, tableWait)
+	c.watching.Store(f.revision)
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	c.tasks.Go(func(context.Context) {
+		select {
+		case <-c.wake:
+			stop(errHint)
+		case <-ctx.Done():
+		}
+	})
+	news, err := c.directory.WatchTable(ctx, f.revision, tableWait)
+	if err != nil && errors.Is(context.Cause(ctx), errHint) {
+		err = errHint
+	}
+	return news, err
 }
 
+// errHint ends a watch when a peer has something newer.
+var errHint = errors.New("a peer has something newer")
+
 // followEndpoints keeps the list of endpoints current until ctx ends.
 func (c *Catalog) followEndpoints(ctx context.Context) {
 	f := follower{clock: c.clock, log: c.log, topic: "endpoints"}
@@ -164,7 +234,7 @@
 			f.succeeded(news.Revision)
 			continue
 		}
-		news, err := c.directory.WatchEndpoints(ctx, f.revision, endpointsWait)
+		news, err := c.watchEndpoints(ctx, &f)
 		switch {
 		case err == nil:
 			c.apply(news)
@@ -178,9 +248,25 @@
 	}
 }
 
-// confirm notes that the table was current at the given uptime.
+func (c *Catalog) watchEndpoints(ctx context.Context, f *follower) (damasktrail.EndpointNews, error) {
+	wait := endpointsWait
+	if c.waitsForLapsed() {
+		wait = lapseGrace / 2
+	}
+	return c.directory.WatchEndpoints(ctx, f.revision, wait)
+}
+
+// waitsForLapsed reports whether endpoints are missing since an outage.
+func (c *Catalog) waitsForLapsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.lapsed) > 0
+}
+
+// confirm notes that the table was current at the given uptime. It is called with
+// mu held.
 func (c *Catalog) confirm(start time.Duration) {
-	c.confirmed.Store(int64(max(start, 1)))
+	c.confirmed.Store(max(int64(start), c.confirmed.Load(), 1))
 }
 
 // adoptTable puts a table in force unless the one in force is as new.
@@ -340,6 +426,9 @@
 		return
 	}
 	f.whole = true
+	if errors.Is(err, errHint) {
+		return
+	}
 	if errors.Is(err, damasktrail.ErrHistory) {
 		f.log.Info("history is gone, reading the whole value", "topic", f.topic)
 		return
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -119,7 +119,7 @@
 		tasks := group.New(context.Background())
 		start := time.Now()
 		uptime := func() time.Duration { return time.Hour + time.Since(start) }
-		c := catalog.New(d, timer.New(tasks), uptime, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+		c := catalog.New(d, timer.New(tasks), uptime, func() int { return 0 }, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
 		require.Equal(t, time.Hour, c.Age())
 		c.Start(tasks)
 		time.Sleep(10 * time.Millisecond)
@@ -206,6 +206,38 @@
 	})
 }
 
+// Guards against dating a table by a peer that holds another one, or back.
+func TestConfirm(t *testing.T) {
+	d := &directory{}
+	play(t, d, func(c *catalog.Catalog) {
+		d.set(func() { d.fails = errDown })
+		time.Sleep(3 * time.Second)
+		age := c.Age()
+		require.Greater(t, age, 2*time.Second)
+		c.Confirm(2, 2*time.Hour)
+		require.Equal(t, age, c.Age(), "a table that is not in force")
+		c.Confirm(1, time.Minute)
+		require.Equal(t, age, c.Age(), "an older date")
+		c.Confirm(1, time.Hour+2900*time.Millisecond)
+		require.Less(t, c.Age(), age)
+	})
+}
+
+// Guards against a call for each entry where one is enough: a peer confirms the
+// table four times a second.
+func TestConfirmedByPeers(t *testing.T) {
+	d := &directory{}
+	play(t, d, func(c *catalog.Catalog) {
+		d.set(func() { d.calls = 0 })
+		for i := range 120 {
+			c.Confirm(1, time.Hour+time.Duration(i)*250*time.Millisecond)
+			time.Sleep(250 * time.Millisecond)
+			require.Less(t, c.Age(), time.Second)
+		}
+		d.set(func() { require.Less(t, d.calls, 30) })
+	})
+}
+
 // Guards against sending requests to an endpoint that has said that it leaves.
 func TestLeaving(t *testing.T) {
 	d := &directory{list: fleet.Of(fleet.Endpoint{ID: "a"})}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -31,8 +31,11 @@
 const (
 	// interval is the longest time between two reports to a peer.
 	interval = 200 * time.Millisecond
-	// spacing is the shortest time between two reports.
-	spacing = 4 * time.Millisecond
+	// spacing is the shortest time between two reports, and perSecond bounds the
+	// datagrams of an entry, so that their cost does not grow with the square of
+	// the fleet.
+	spacing   = 4 * time.Millisecond
+	perSecond = 400
 	// life is how long a peer's report counts without a newer one.
 	life = 900 * time.Millisecond
 	// forget is how long the address of a silent peer is kept.
@@ -47,6 +50,17 @@
 	maxPeers = 32
 )
 
+// proof ends a datagram. It lets the receiver date the sender's table by its own
+// clock: the sender had it confirmed no earlier than Age before it heard Echo.
+type proof struct {
+	_ struct{} `cbor:",toarray"`
+	// Stamp is the sender's time, Echo the last stamp that the sender has from the
+	// receiver's incarnation, zero when it has none.
+	Stamp, Echo int64
+	// Age is how long before this datagram the sender's table was confirmed.
+	Age int64
+}
+
 // message is a report on the wire.
 type message struct {
 	Name string `cbor:"1,keyasint"`
@@ -75,6 +89,8 @@
 	Usage    quota.Usage
 	Suspects []frame.Suspect
 	Leaving  bool
+	// Age is how long ago the table was known to be the newest.
+	Age time.Duration
 }
 
 // Owner is told what peers report.
@@ -83,6 +99,9 @@
 	State() State
 	// Learn takes the report of one peer. The name includes its incarnation.
 	Learn(peer string, s State)
+	// Confirm says that a peer knew the table of that version to be the newest at
+	// the given uptime of this VM.
+	Confirm(table uint64, at time.Duration)
 	// Forget says that a peer's incarnation is gone.
 	Forget(peer string)
 	// SetOthers takes the sum over the peers.
@@ -96,7 +115,9 @@
 	number uint64
 	heard  time.Time
 	// sent is the time of the last report to it.
-	sent   time.Time
+	sent time.Time
+	// stamp is the last stamp that it sent.
+	stamp  int64
 	state  State
 	silent bool
 }
@@ -111,8 +132,10 @@
 	boot    uint64
 	owner   Owner
 	clock   damasktrail.Clock
-	log     *slog.Logger
-	conn    *net.UDPConn
+	// uptime is the time since the machine's start, suspended time included.
+	uptime func() time.Duration
+	log    *slog.Logger
+	conn   *net.UDPConn
 	// dirty holds an element when a report is due.
 	dirty chan struct{}
 
@@ -124,7 +147,7 @@
 
 // New binds address. Seeds are addresses of peers; its own is left out. Boot
 // must differ between two starts of the process.
-func New(name, address string, seeds []string, boot uint64, owner Owner, clock damasktrail.Clock, log *slog.Logger) (res *Exchange, err error) {
+func New(name, address string, seeds []string, boot uint64, owner Owner, clock damasktrail.Clock, uptime func() time.Duration, log *slog.Logger) (res *Exchange, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("open the exchange on %s: %w", address, err)
@@ -135,7 +158,7 @@
 		return nil, err
 	}
 	res = &Exchange{
-		name: name, address: own, boot: boot, owner: owner, clock: clock, log: log,
+		name: name, address: own, boot: boot, owner: owner, clock: clock, uptime: uptime, log: log,
 		dirty: make(chan struct{}, 1), peers: map[netip.AddrPort]*peer{},
 	}
 	for _, s := range seeds {
@@ -190,25 +213,37 @@
 			return
 		}
 		x.report(x.clock.Now(), 0)
-		if x.clock.Sleep(ctx, spacing) != nil {
+		if x.clock.Sleep(ctx, x.pause()) != nil {
 			return
 		}
 	}
 }
 
+// pause returns the time to wait between two reports.
+func (x *Exchange) pause() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return max(spacing, time.Duration(len(x.peers))*time.Second/perSecond)
+}
+
 // report sends the state to the peers that got none for the given time.
 func (x *Exchange) report(now time.Time, quiet time.Duration) {
 	to := x.due(now, quiet)
 	if len(to) == 0 {
 		return
 	}
-	body, err := x.encode()
+	body, age, err := x.encode()
 	if err != nil {
 		x.log.Error("report cannot be encoded", "error", err)
 		return
 	}
 	for _, a := range to {
-		if _, err := x.conn.WriteToUDPAddrPort(body, a); err != nil && !errors.Is(err, net.ErrClosed) {
+		tail, err := x.proof(a, age)
+		if err != nil {
+			x.log.Error("report cannot be encoded", "error", err)
+			return
+		}
+		if _, err := x.conn.WriteToUDPAddrPort(slices.Concat(body, tail), a); err != nil && !errors.Is(err, net.ErrClosed) {
 			x.log.Debug("report not sent", "peer", a.String(), "error", err)
 		}
 	}
@@ -232,8 +267,19 @@
 	return res
 }
 
-// encode returns the next report.
-func (x *Exchange) encode() ([]byte, error) {
+// proof returns the end of a datagram to a peer. Two VMs' clocks never meet in it.
+func (x *Exchange) proof(to netip.AddrPort, age time.Duration) ([]byte, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := proof{Stamp: int64(x.uptime()), Age: int64(age)}
+	if peer := x.peers[to]; peer != nil {
+		p.Echo = peer.stamp
+	}
+	return cbor.Marshal(p)
+}
+
+// encode returns the next report, and the age of the table in it.
+func (x *Exchange) encode() ([]byte, time.Duration, error) {
 	s := x.owner.State()
 	m := message{
 		Name: x.name, Boot: x.boot, Table: s.Table,
@@ -254,7 +300,8 @@
 		}
 	}
 	x.mu.Unlock()
-	return cbor.Marshal(m)
+	body, err := cbor.Marshal(m)
+	return body, s.Age, err
 }
 
 // receive reads reports until the connection is closed.
@@ -269,17 +316,26 @@
 			x.log.Warn("report not read", "error", err)
 			continue
 		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+		m, p, err := decode(buffer[:n])
+		if err != nil {
 			x.log.Warn("report cannot be decoded", "peer", from.String(), "error", err)
 			continue
 		}
-		x.accept(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m)
+		x.accept(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m, p)
 	}
 }
 
+func decode(datagram []byte) (m message, p proof, err error) {
+	rest, err := cbor.UnmarshalFirst(datagram, &m)
+	if err != nil {
+		return m, p, err
+	}
+	err = cbor.Unmarshal(rest, &p)
+	return m, p, err
+}
+
 // accept takes a report unless a newer one came before it.
-func (x *Exchange) accept(from netip.AddrPort, m message) {
+func (x *Exchange) accept(from netip.AddrPort, m message, proven proof) {
 	s := State{
 		Table:    m.Table,
 		Dispatch: dispatch.Report{Holds: make(map[string]dispatch.Hold, len(m.Holds)), Waiting: m.Waiting},
@@ -304,6 +360,7 @@
 	regained := p.silent
 	p.name, p.boot, p.number = m.Name, m.Boot, m.Number
 	p.heard, p.state, p.silent = x.clock.Now(), s, false
+	p.stamp = proven.Stamp
 	for _, text := range m.Peers {
 		if a, err := netip.ParseAddrPort(text); err == nil {
 			x.add(a)
@@ -319,6 +376,9 @@
 		x.owner.Forget(gone)
 	}
 	x.owner.Learn(key, s)
+	if proven.Echo > 0 {
+		x.owner.Confirm(m.Table, time.Duration(proven.Echo-proven.Age))
+	}
 	x.owner.SetOthers(others)
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -26,6 +26,8 @@
 	others dispatch.Others
 	learnt map[string]exchange.State
 	gone   []string
+	// confirmed has the latest time by version of the table.
+	confirmed map[uint64]time.Duration
 }
 
 func (o *owner) State() exchange.State {
@@ -43,6 +45,15 @@
 	o.learnt[peer] = s
 }
 
+func (o *owner) Confirm(table uint64, at time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.confirmed == nil {
+		o.confirmed = map[uint64]time.Duration{}
+	}
+	o.confirmed[table] = max(at, o.confirmed[table])
+}
+
 func (o *owner) Forget(peer string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -72,7 +83,7 @@
 	t.Helper()
 	tasks := group.New(context.Background())
 	o := &owner{}
-	x, err := exchange.New(name, address, seeds, 1, o, timer.New(tasks), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	x, err := exchange.New(name, address, seeds, 1, o, timer.New(tasks), timer.Uptime, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	x.Start(tasks)
 	t.Cleanup(tasks.Close)
@@ -129,6 +140,27 @@
 	require.Eventually(t, func() bool { return a.owner.held() == 0 && len(a.Peers()) == 0 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// Guards against a table that is dated later than a peer had it confirmed. The
+// peer's age is 2 s; its datagrams may be late, but never early.
+func TestConfirm(t *testing.T) {
+	const age = 2 * time.Second
+	seed := address(t)
+	a := start(t, "a", seed, seed)
+	b := start(t, "b", address(t), seed)
+	b.owner.mu.Lock()
+	b.owner.state.Table, b.owner.state.Age = 7, age
+	b.owner.mu.Unlock()
+	confirmed := func() time.Duration {
+		a.owner.mu.Lock()
+		defer a.owner.mu.Unlock()
+		return a.owner.confirmed[7]
+	}
+	begin := timer.Uptime()
+	require.Eventually(t, func() bool { return confirmed() > begin-age }, 5*time.Second, 10*time.Millisecond)
+	require.LessOrEqual(t, confirmed(), timer.Uptime()-age)
+	require.Greater(t, confirmed(), timer.Uptime()-age-time.Second)
+}
+
 // Guards against an older report that replaces a newer one, against datagrams
 // that are no reports, and against a peer's new start that keeps its old sums.
 func TestOldReports(t *testing.T) {
@@ -139,6 +171,9 @@
 	send := func(boot, number uint64, held int) {
 		b, err := cbor.Marshal(map[int]any{1: "b", 2: boot, 3: number, 5: map[string][2]int{"e": {held, 0}}})
 		require.NoError(t, err)
+		tail, err := cbor.Marshal([]int64{1, 0, 0})
+		require.NoError(t, err)
+		b = append(b, tail...)
 		_, err = conn.Write(b)
 		require.NoError(t, err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,9 +102,9 @@
 		retries:  map[string]*budget.Share{},
 	}
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
-	g.catalog = catalog.New(directory, clock, uptime, log, g.adopt)
+	g.catalog = catalog.New(directory, clock, uptime, g.rank, log, g.adopt)
 	g.scheduler = dispatch.New(clock, s.Domain, func() { g.exchange.Changed() })
-	g.exchange, err = exchange.New(s.Name, s.Peers, s.Seeds, boot, owner{g}, clock, log)
+	g.exchange, err = exchange.New(s.Name, s.Peers, s.Seeds, boot, owner{g}, clock, uptime, log)
 	if err != nil {
 		return nil, err
 	}
@@ -272,6 +273,12 @@
 
 func (g *Gateway) entries() int { return max(minEntries, 1+len(g.exchange.Peers())) }
 
+// rank returns this entry's place among the live entries by name.
+func (g *Gateway) rank() int {
+	place, _ := slices.BinarySearch(g.exchange.Peers(), g.settings.Name)
+	return place
+}
+
 // owner connects the exchange with the parts of the gateway.
 type owner struct{ g *Gateway }
 
@@ -280,7 +287,10 @@
 // State implements exchange.Owner.
 func (o owner) State() exchange.State {
 	g := o.g
-	res := exchange.State{Dispatch: g.scheduler.Report(), Usage: g.quotas.Usage(), Leaving: g.draining.Load() != nil}
+	res := exchange.State{
+		Dispatch: g.scheduler.Report(), Usage: g.quotas.Usage(), Leaving: g.draining.Load() != nil,
+		Age: g.catalog.Age(),
+	}
 	if t := g.catalog.Snapshot().Table; t != nil {
 		res.Table = t.Version
 	}
@@ -303,6 +313,9 @@
 	g.suspects.Merge(s.Suspects, g.clock.Now())
 }
 
+// Confirm implements exchange.Owner.
+func (o owner) Confirm(table uint64, at time.Duration) { o.g.catalog.Confirm(table, at) }
+
 // Forget implements exchange.Owner.
 func (o owner) Forget(peer string) { o.g.quotas.Forget(peer) }
 
