--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,39 +106,6 @@
 // Report is what this entry tells its peers.
 type Report = Others
 
-// Result is how an attempt ended.
-type Result int
-
-// The results.
-const (
-	// Answered is a whole answer of the endpoint.
-	Answered Result = iota
-	// Cancelled is an attempt that the caller or the entry ended.
-	Cancelled
-	// Full is a refusal by an endpoint that has no room.
-	Full
-	// Failed is a failure that the endpoint answered with.
-	Failed
-	// Broken is a connection that could not be made or broke.
-	Broken
-)
-
-// endpoint is what is known of one endpoint.
-type endpoint struct {
-	fleet.Endpoint
-	// grants are this entry's attempts there.
-	grants map[*Grant]struct{}
-	// pace is the mean time between events in seconds; zero when unknown.
-	pace float64
-	// failing is the mean share of requests that it answered with a failure.
-	failing float64
-	// paused is the end of a pause.
-	paused time.Time
-	// failures counts broken connections in a row. With one or more, a single
-	// request at a time tries the endpoint again.
-	failures int
-}
-
 // service is what is known of one service.
 type service struct {
 	name string
@@ -158,33 +125,6 @@
 	granted chan *Grant
 }
 
-// Choice is what was known of an endpoint when it was chosen.
-type Choice struct {
-	// Own and Peers are the requests that it held for this entry and for others.
-	Own, Peers int
-	// Pace is the mean time between the events of its streams, zero when unknown.
-	Pace time.Duration
-	// Free is the number of endpoints that had a free place.
-	Free int
-}
-
-// Grant is a place at an endpoint. It is used by one goroutine and must be ended
-// by Done.
-type Grant struct {
-	// Endpoint is where the request goes.
-	Endpoint fleet.Endpoint
-	// Choice is what decided it.
-	Choice Choice
-
-	scheduler *Scheduler
-	service   *service
-	prompt    int
-	since     time.Time
-	// started says that the first byte has come.
-	started bool
-	done    bool
-}
-
 // Scheduler places requests. It is safe for use by several goroutines.
 type Scheduler struct {
 	clock  damasktrail.Clock
@@ -527,84 +467,3 @@
 	}
 	return e.Slots + plainExtra
 }
-
-// held returns what the endpoint holds for this entry.
-func (e *endpoint) held() Hold {
-	res := Hold{Requests: len(e.grants)}
-	for g := range e.grants {
-		if !g.started {
-			res.Prompt += g.prompt
-		}
-	}
-	return res
-}
-
-// stuck reports whether a request has waited too long for its first byte.
-func (e *endpoint) stuck(now time.Time) bool {
-	for g := range e.grants {
-		if !g.started && now.Sub(g.since) > stuck {
-			return true
-		}
-	}
-	return false
-}
-
-// Started says that the first byte of the answer has come.
-func (g *Grant) Started() {
-	g.scheduler.mu.Lock()
-	g.started = true
-	g.scheduler.mu.Unlock()
-	g.scheduler.changed()
-}
-
-// Done gives the place back. pace is the mean time between events of the answer,
-// zero when it is unknown. Only the first call counts.
-func (g *Grant) Done(result Result, pace time.Duration) {
-	s := g.scheduler
-	s.mu.Lock()
-	if g.done {
-		s.mu.Unlock()
-		return
-	}
-	g.done = true
-	if e := g.service.endpoints[g.Endpoint.ID]; e != nil {
-		delete(e.grants, g)
-		g.learn(e, result, pace, s.clock.Now())
-	}
-	s.place(g.service)
-	s.mu.Unlock()
-	s.changed()
-}
-
-// learn updates what is known of the endpoint.
-func (g *Grant) learn(e *endpoint, result Result, pace time.Duration, now time.Time) {
-	v := g.service
-	switch result {
-	case Answered:
-		e.failures = 0
-		e.failing -= smoothing * e.failing
-		v.health.Answer(e.ID, 0, now)
-		v.hold += smoothing * (now.Sub(g.since).Seconds() - v.hold)
-		if pace > 0 {
-			e.learnPace(pace.Seconds())
-		}
-	case Failed:
-		e.failures = 0
-		e.failing += smoothing * (1 - e.failing)
-		v.health.Fail(e.ID, now)
-	case Full:
-		e.paused = now.Add(fullPause)
-	case Broken:
-		e.paused = now.Add(min(firstPause<<min(e.failures, 10), maxPause))
-		e.failures++
-	case Cancelled:
-	}
-}
-
-func (e *endpoint) learnPace(seconds float64) {
-	if e.pace == 0 {
-		e.pace = seconds
-		return
-	}
-	e.pace += smoothing * (seconds - e.pace)
-}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -19,8 +19,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"damasktrail.dev"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/frame"
@@ -50,37 +48,6 @@
 	maxPeers = 32
 )
 
-// proof ends a datagram. It lets the receiver date the sender's table by its own
-// clock: the sender had it confirmed no earlier than Age before it heard Echo.
-type proof struct {
-	_ struct{} `cbor:",toarray"`
-	// Stamp is the sender's time, Echo the last stamp that the sender has from the
-	// receiver's incarnation, zero when it has none.
-	Stamp, Echo int64
-	// Age is how long before this datagram the sender's table was confirmed.
-	Age int64
-}
-
-// message is a report on the wire.
-type message struct {
-	Name string `cbor:"1,keyasint"`
-	// Boot is the incarnation of the sender, Number that of the report.
-	Boot   uint64 `cbor:"2,keyasint"`
-	Number uint64 `cbor:"3,keyasint"`
-	// Table is the version of the routing table in force.
-	Table uint64 `cbor:"4,keyasint"`
-	// Holds has requests and prompt tokens by endpoint.
-	Holds   map[string][2]int      `cbor:"5,keyasint,omitempty"`
-	Waiting map[string]map[int]int `cbor:"6,keyasint,omitempty"`
-	Usage   quota.Usage            `cbor:"7,keyasint,omitempty"`
-	// Suspects are requests that crashed endpoints.
-	Suspects []frame.Suspect `cbor:"8,keyasint,omitempty"`
-	// Peers are addresses that the sender knows.
-	Peers []string `cbor:"9,keyasint,omitempty"`
-	// Leaving says that the sender is shutting down.
-	Leaving bool `cbor:"10,keyasint,omitempty"`
-}
-
 // State is what an entry reports of itself.
 type State struct {
 	// Table is the version of the routing table in force.
@@ -267,43 +234,6 @@
 	return res
 }
 
-// proof returns the end of a datagram to a peer. Two VMs' clocks never meet in it.
-func (x *Exchange) proof(to netip.AddrPort, age time.Duration) ([]byte, error) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	p := proof{Stamp: int64(x.uptime()), Age: int64(age)}
-	if peer := x.peers[to]; peer != nil {
-		p.Echo = peer.stamp
-	}
-	return cbor.Marshal(p)
-}
-
-// encode returns the next report, and the age of the table in it.
-func (x *Exchange) encode() ([]byte, time.Duration, error) {
-	s := x.owner.State()
-	m := message{
-		Name: x.name, Boot: x.boot, Table: s.Table,
-		Waiting: s.Dispatch.Waiting, Usage: s.Usage, Suspects: s.Suspects, Leaving: s.Leaving,
-		Holds: make(map[string][2]int, len(s.Dispatch.Holds)),
-	}
-	for id, h := range s.Dispatch.Holds {
-		m.Holds[id] = [2]int{h.Requests, h.Prompt}
-	}
-	x.mu.Lock()
-	x.number++
-	m.Number = x.number
-	if x.number%peersEvery == 1 {
-		for a, p := range x.peers {
-			if !p.silent {
-				m.Peers = append(m.Peers, a.String())
-			}
-		}
-	}
-	x.mu.Unlock()
-	body, err := cbor.Marshal(m)
-	return body, s.Age, err
-}
-
 // receive reads reports until the connection is closed.
 func (x *Exchange) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
@@ -325,27 +255,9 @@
 	}
 }
 
-func decode(datagram []byte) (m message, p proof, err error) {
-	rest, err := cbor.UnmarshalFirst(datagram, &m)
-	if err != nil {
-		return m, p, err
-	}
-	err = cbor.Unmarshal(rest, &p)
-	return m, p, err
-}
-
 // accept takes a report unless a newer one came before it.
 func (x *Exchange) accept(from netip.AddrPort, m message, proven proof) {
-	s := State{
-		Table:    m.Table,
-		Dispatch: dispatch.Report{Holds: make(map[string]dispatch.Hold, len(m.Holds)), Waiting: m.Waiting},
-		Usage:    m.Usage,
-		Suspects: m.Suspects,
-		Leaving:  m.Leaving,
-	}
-	for id, h := range m.Holds {
-		s.Dispatch.Holds[id] = dispatch.Hold{Requests: h[0], Prompt: h[1]}
-	}
+	s := m.state()
 	x.mu.Lock()
 	x.add(from)
 	p := x.peers[from]
