Record the requests that crash endpoints

Cause: read-through: the gateway refused requests that had crashed endpoints and shared them with its peers, but nothing recorded a crash. Change: a request that was lost at an endpoint which then takes no connections within 2 s is suspected; two crashes refuse it. Ruled out: counting lost answers alone, since replicas that lose answers while they run would make callers' sound requests suspect. Result: TestCrashes has two crashes in eight tries; without the record all three replicas go.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	suspects *suspect.List
+	losses   *losses
 	// retries has the share of each service.
 	retries map[string]*budget.Share
 }
@@ -99,6 +100,7 @@
 		settings: s, dialect: dialect, clock: clock, tasks: tasks, log: log, metrics: m,
 		quotas:   quota.New(),
 		suspects: suspect.New(),
+		losses:   newLosses(),
 		retries:  map[string]*budget.Share{},
 	}
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
@@ -157,6 +159,9 @@
 func (g *Gateway) tick(now time.Time) {
 	g.scheduler.Tick()
 	g.pool.Expire(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspects.Expire(now)
 }
 
 // adopt takes a new snapshot of the catalog.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -314,3 +314,35 @@
 		require.Equal(t, "sound", got.body)
 	}
 }
+
+// Guards against a request that crashes one endpoint after the other: after two
+// crashes it is refused, and requests that were merely lost are not.
+func TestCrashes(t *testing.T) {
+	var replicas []*replica
+	for range 3 {
+		p := newReplica(t, whole("ok"))
+		p.handler = func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/send/deadly" {
+				whole("ok")(w, r)
+				return
+			}
+			_ = p.Listener.Close()
+			cuts(w, r)
+		}
+		replicas = append(replicas, p)
+	}
+	s := start(t, replicas...)
+	crashes := 0
+	for i := range 8 {
+		id := fmt.Sprint("deadly", i)
+		status := s.ask("/send/deadly", id, "body").status
+		if status == http.StatusBadGateway {
+			crashes++
+		} else {
+			require.Equal(t, http.StatusServiceUnavailable, status)
+		}
+		time.Sleep(700 * time.Millisecond)
+		require.Equal(t, http.StatusOK, s.ask("/send/other", fmt.Sprint("other", i), "body").status)
+	}
+	require.Equal(t, 2, crashes)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -60,6 +60,7 @@
 			var failure *upstream.Error
 			if errors.As(err, &failure) && !failure.Sent && ctx.Err() == nil {
 				grant.Done(dispatch.Broken, 0)
+				c.g.noteDown(c.endpoint)
 				dials++
 				if dials < maxDials {
 					c.retried(grant, damasktrail.ReasonLost, err)
@@ -139,6 +140,7 @@
 		grant.Done(dispatch.Failed, 0)
 		return false, nil
 	case err == nil:
+		c.g.noteSound(c.endpoint)
 		grant.Done(dispatch.Answered, out.pace())
 		return false, nil
 	case errors.Is(err, errCaller):
@@ -174,6 +176,7 @@
 		return false
 	}
 	grant.Done(dispatch.Broken, 0)
+	c.g.noteLoss(c.endpoint, c.fingerprint)
 	if c.route.Repeatable() && c.mayRepeat() {
 		c.retried(grant, damasktrail.ReasonLost, err)
 		return true
