--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -342,6 +342,18 @@
 	x.report(now, interval)
 }
 
+// Available reports whether a peer is live that is not shutting down.
+func (x *Exchange) Available() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for p := range maps.Values(x.peers) {
+		if !p.silent && !p.state.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Peers returns the names of the peers that are live, sorted.
 func (x *Exchange) Peers() []string {
 	x.mu.Lock()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -119,6 +119,14 @@
 		return a.owner.held() == 5 && b.owner.held() == 4 && c.owner.held() == 3
 	}, 10*time.Second, 10*time.Millisecond)
 	require.Equal(t, []string{"b", "c"}, a.Peers())
+	require.True(t, a.Available())
+	for _, n := range []*node{b, c} {
+		n.owner.mu.Lock()
+		n.owner.state.Leaving = true
+		n.owner.mu.Unlock()
+		n.Changed()
+	}
+	require.Eventually(t, func() bool { return !a.Available() }, 5*time.Second, 10*time.Millisecond)
 	a.owner.mu.Lock()
 	defer a.owner.mu.Unlock()
 	require.Equal(t, 2, a.owner.others.Waiting["s"][2])
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -21,9 +21,10 @@
 	// staleTable is the age of the table from which a request that it does not
 	// allow is not refused for good.
 	staleTable = 1500 * time.Millisecond
-	// leavingRetry is the advice of a process that is shutting down; another entry
-	// can take the request at once.
+	// leavingRetry is the advice of a process that is shutting down while another
+	// entry can take the request at once, aloneRetry while none is known.
 	leavingRetry = 10 * time.Millisecond
+	aloneRetry   = time.Second
 	// unsaidDeadline is how long a caller is assumed to wait that does not say.
 	unsaidDeadline = 30 * time.Second
 )
@@ -116,7 +117,11 @@
 	c.service, _ = s.Table.Service(c.target)
 	c.setLimit()
 	if g.leavesBefore(c.limit) {
-		return c, deny(http.StatusServiceUnavailable, damasktrail.ReasonLeaving, leavingRetry, "this entry is shutting down")
+		after := aloneRetry
+		if g.exchange.Available() {
+			after = leavingRetry
+		}
+		return c, deny(http.StatusServiceUnavailable, damasktrail.ReasonLeaving, after, "this entry is shutting down")
 	}
 	if st := c.readBody(w, s.Table.Limits); st != nil {
 		return c, st
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -301,6 +301,7 @@
 	got = s.ask("/send/x", "refused", "body")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Zero(t, p.ran("refused"))
+	require.Equal(t, "1.000", got.header.Get("Retry-After"), "no other entry is known to take it at once")
 	require.Less(t, <-drained, s.settings.Grace)
 }
 
