Remove fields that nothing reads; bound the process's memory

Cause: read-through: fields of calls, answers, services, limits and settings were decoded and not read, with their tests; the memory limit of the settings was read and not used. Change: the fields and the checks of them go; the collector keeps to six tenths of the limit of the process.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -36,7 +37,14 @@
 	Level    string `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
 }
 
-const maxPort = 1<<16 - 1
+const (
+	maxPort = 1<<16 - 1
+	// memoryShare is the part of the process's memory from which the collector
+	// works harder; the rest is for stacks and received bytes.
+	memoryShare = 0.6
+	// dialTimeout bounds the opening of a connection to the directory.
+	dialTimeout = 500 * time.Millisecond
+)
 
 func main() {
 	var o options
@@ -51,6 +59,9 @@
 		fmt.Fprintln(os.Stderr, "gateway:", err)
 		os.Exit(2)
 	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	}
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(o, s),
@@ -97,7 +108,7 @@
 	return platform.New(s.Directory, &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4,
 		DisableCompression:  true,
-		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}})
 }
 
--- a/dialect.go
+++ b/dialect.go
@@ -19,11 +19,6 @@
 	// Prompt is the number of prompt tokens, Output the greatest number of
 	// generated tokens.
 	Prompt, Output int
-	// Hint is the caller's guess of the number of generated tokens; zero when it
-	// makes none.
-	Hint int
-	// Resumed says that the caller goes on with a stream that it saw a part of.
-	Resumed bool
 }
 
 // Dispatch is what the scheduler adds to a request that it sends on.
@@ -45,12 +40,6 @@
 	ID string
 	// NotRun says that the endpoint did not run the request and never will.
 	NotRun bool
-	// Signed says that the answer has the endpoint's signature.
-	Signed bool
-	// Loaded says that Running, Waiting and Slots are given.
-	Loaded bool
-	// Running and Waiting are numbers of requests at the endpoint.
-	Running, Waiting, Slots int
 }
 
 // Dialect reads and writes the header fields in which callers, scheduler and
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -243,7 +243,7 @@
 	}
 	s.settings = gateway.Settings{
 		Name: "entry", Domain: "d", Callers: free(t), Ready: free(t), Peers: free(t), Directory: "127.0.0.1:1",
-		Grace: 4 * time.Second, Revocation: 3 * time.Second, Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56, Window: 10 * time.Second},
+		Grace: 4 * time.Second, Revocation: 3 * time.Second, Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56},
 	}
 	tasks := group.New(context.Background())
 	m, err := telemetry.New("gateway")
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -12,7 +12,6 @@
 	// Ratio is the share of the requests for the service in a window, Slack a
 	// number of requests besides.
 	Ratio, Slack float64
-	Window       time.Duration
 }
 
 // Settings are what a gateway learns from the file of its VM. They are values
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -47,9 +47,6 @@
 	// Objective is the response time, to the first event of a stream, within
 	// which an answer has its full use.
 	Objective time.Duration
-	// Pause is the longest pause between two events of a stream that is in time;
-	// zero when the route sets none.
-	Pause time.Duration
 	// Tier is the rank; 0 is the highest.
 	Tier int
 	// Attempts is the number of endpoints that one request may be sent to, at
@@ -90,11 +87,6 @@
 	// Engine says that the endpoints are model engines, which answer a request
 	// token by token and batch requests.
 	Engine bool
-	// Health is the path of the liveness check.
-	Health string
-	// Connections bounds the connections to one endpoint from all callers; zero
-	// means no bound.
-	Connections int
 }
 
 // Organisation is a customer with its keys and quota.
@@ -115,11 +107,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	// Header and Body are in bytes; zero means no bound.
-	Header, Body int64
-	// HeaderTime is how long a header may take to arrive, Idle how long a
-	// connection may stay unused; zero means no bound.
-	HeaderTime, Idle time.Duration
+	// Body is in bytes; zero means no bound.
+	Body int64
 }
 
 // Table is one version of the configuration. It is safe for use by several
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -213,12 +213,6 @@
 	return n, err
 }
 
-// Framed reports whether the answer says where it ends. One that does not ends
-// with its connection.
-func (a *Answer) Framed() bool {
-	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
-}
-
 // Close keeps the connection for the next request when the answer was read whole
 // and closes it otherwise.
 func (a *Answer) Close() {
