Date a peer's table by what was heard before its age was taken

Nine gateways were turned away by the store and confirmed the table to each other. A report took the age of its table once and then, for each peer, the newest stamp heard; a stamp heard in between made the date too late, and each report passed the error on. Change: the stamp is read before the age; version and age are taken together and travel together. Ruled out: a watch that is deaf (the store refused the calls of these gateways).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -126,6 +126,17 @@
 	return c.uptime() - time.Duration(at)
 }
 
+// Confirmed returns the version of the table in force, zero when there is none,
+// and its age, both of one moment.
+func (c *Catalog) Confirmed() (version uint64, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.current.Load().Table; t != nil {
+		version = t.Version
+	}
+	return version, c.Age()
+}
+
 // Hint says that a peer holds the table of that version. A newer one than the
 // catalog's is read at once.
 func (c *Catalog) Hint(version uint64) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -56,8 +56,6 @@
 	Usage    quota.Usage
 	Suspects []frame.Suspect
 	Leaving  bool
-	// Age is how long ago the table was known to be the newest.
-	Age time.Duration
 }
 
 // Owner is told what peers report.
@@ -66,6 +64,9 @@
 	State() State
 	// Learn takes the report of one peer. The name includes its incarnation.
 	Learn(peer string, s State)
+	// Confirmed returns the version of the table in force and the time since it was
+	// known to be the newest, both of one moment.
+	Confirmed() (table uint64, age time.Duration)
 	// Confirm says that a peer knew the table of that version to be the newest at
 	// the given uptime of this VM.
 	Confirm(table uint64, at time.Duration)
@@ -199,13 +200,13 @@
 	if len(to) == 0 {
 		return
 	}
-	body, age, err := x.encode()
+	body, err := x.encode()
 	if err != nil {
 		x.log.Error("report cannot be encoded", "error", err)
 		return
 	}
 	for _, a := range to {
-		tail, err := x.proof(a, age)
+		tail, err := x.proof(a)
 		if err != nil {
 			x.log.Error("report cannot be encoded", "error", err)
 			return
@@ -289,7 +290,7 @@
 	}
 	x.owner.Learn(key, s)
 	if proven.Echo > 0 {
-		x.owner.Confirm(m.Table, time.Duration(proven.Echo-proven.Age))
+		x.owner.Confirm(proven.Table, time.Duration(proven.Echo-proven.Age))
 	}
 	x.owner.SetOthers(others)
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -26,6 +26,8 @@
 	others dispatch.Others
 	learnt map[string]exchange.State
 	gone   []string
+	// age is that of the table while no peer confirmed it.
+	age time.Duration
 	// confirmed has the latest time by version of the table.
 	confirmed map[uint64]time.Duration
 }
@@ -45,6 +47,18 @@
 	o.learnt[peer] = s
 }
 
+func (o *owner) Confirmed() (table uint64, age time.Duration) {
+	// A process may be slow at any moment: what it hears after this must not date
+	// what it says.
+	defer time.Sleep(time.Millisecond)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if at, found := o.confirmed[o.state.Table]; found {
+		return o.state.Table, timer.Uptime() - at
+	}
+	return o.state.Table, o.age
+}
+
 func (o *owner) Confirm(table uint64, at time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -156,7 +170,7 @@
 	a := start(t, "a", seed, seed)
 	b := start(t, "b", address(t), seed)
 	b.owner.mu.Lock()
-	b.owner.state.Table, b.owner.state.Age = 7, age
+	b.owner.state.Table, b.owner.age = 7, age
 	b.owner.mu.Unlock()
 	confirmed := func() time.Duration {
 		a.owner.mu.Lock()
@@ -169,6 +183,32 @@
 	require.Greater(t, confirmed(), timer.Uptime()-age-time.Second)
 }
 
+// Guards against peers that have lost the directory and keep each other's tables
+// young: in a hunt nine of them used a key 5 s after it was taken away.
+func TestConfirmationsDoNotCreep(t *testing.T) {
+	const table = 7
+	seed := address(t)
+	nodes := []*node{start(t, "a", seed, seed), start(t, "b", address(t), seed), start(t, "c", address(t), seed)}
+	begin := timer.Uptime()
+	for _, n := range nodes {
+		n.owner.mu.Lock()
+		n.owner.state.Table = table
+		n.owner.confirmed = map[uint64]time.Duration{table: begin}
+		n.owner.mu.Unlock()
+	}
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, n := range nodes {
+			n.Changed()
+		}
+	}
+	for _, n := range nodes {
+		require.NotEmpty(t, n.Peers())
+		n.owner.mu.Lock()
+		require.Equal(t, begin, n.owner.confirmed[table])
+		n.owner.mu.Unlock()
+	}
+}
+
 // Guards against an older report that replaces a newer one, against datagrams
 // that are no reports, and against a peer's new start that keeps its old sums.
 func TestOldReports(t *testing.T) {
@@ -179,7 +219,7 @@
 	send := func(boot, number uint64, held int) {
 		b, err := cbor.Marshal(map[int]any{1: "b", 2: boot, 3: number, 5: map[string][2]int{"e": {held, 0}}})
 		require.NoError(t, err)
-		tail, err := cbor.Marshal([]int64{1, 0, 0})
+		tail, err := cbor.Marshal([]int64{1, 0, 0, 0})
 		require.NoError(t, err)
 		b = append(b, tail...)
 		_, err = conn.Write(b)
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -12,14 +11,18 @@
 )
 
 // proof ends a datagram. It lets the receiver date the sender's table by its own
-// clock: the sender had it confirmed no earlier than Age before it heard Echo.
+// clock: the sender had it confirmed no later than Age before it sent the
+// datagram, and it heard Echo before that. So the receiver's date, Echo less Age,
+// is never later than the sender's, however often it is passed on.
 type proof struct {
 	_ struct{} `cbor:",toarray"`
 	// Stamp is the sender's time, Echo the last stamp that the sender has from the
 	// receiver's incarnation, zero when it has none.
 	Stamp, Echo int64
-	// Age is how long before this datagram the sender's table was confirmed.
-	Age int64
+	// Table is the version of the sender's table, and Age how long before this
+	// datagram it was confirmed. Age is taken after Echo.
+	Table uint64
+	Age   int64
 }
 
 // message is a report on the wire.
@@ -43,18 +46,25 @@
 }
 
 // proof returns the end of a datagram to a peer. Two VMs' clocks never meet in it.
-func (x *Exchange) proof(to netip.AddrPort, age time.Duration) ([]byte, error) {
+func (x *Exchange) proof(to netip.AddrPort) ([]byte, error) {
+	p := proof{Stamp: int64(x.uptime()), Echo: x.stamp(to)}
+	table, age := x.owner.Confirmed()
+	p.Table, p.Age = table, int64(age)
+	return cbor.Marshal(p)
+}
+
+// stamp returns the last stamp of a peer, zero when there is none.
+func (x *Exchange) stamp(of netip.AddrPort) int64 {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := proof{Stamp: int64(x.uptime()), Age: int64(age)}
-	if peer := x.peers[to]; peer != nil {
-		p.Echo = peer.stamp
+	if p := x.peers[of]; p != nil {
+		return p.stamp
 	}
-	return cbor.Marshal(p)
+	return 0
 }
 
-// encode returns the next report, and the age of the table in it.
-func (x *Exchange) encode() ([]byte, time.Duration, error) {
+// encode returns the next report.
+func (x *Exchange) encode() ([]byte, error) {
 	s := x.owner.State()
 	m := message{
 		Name: x.name, Boot: x.boot, Table: s.Table,
@@ -75,8 +85,7 @@
 		}
 	}
 	x.mu.Unlock()
-	body, err := cbor.Marshal(m)
-	return body, s.Age, err
+	return cbor.Marshal(m)
 }
 
 // decode reads a datagram.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -292,10 +292,7 @@
 // State implements exchange.Owner.
 func (o owner) State() exchange.State {
 	g := o.g
-	res := exchange.State{
-		Dispatch: g.scheduler.Report(), Usage: g.quotas.Usage(), Leaving: g.draining.Load() != nil,
-		Age: g.catalog.Age(),
-	}
+	res := exchange.State{Dispatch: g.scheduler.Report(), Usage: g.quotas.Usage(), Leaving: g.draining.Load() != nil}
 	if t := g.catalog.Snapshot().Table; t != nil {
 		res.Table = t.Version
 	}
@@ -318,6 +315,9 @@
 	g.suspects.Merge(s.Suspects, g.clock.Now())
 }
 
+// Confirmed implements exchange.Owner.
+func (o owner) Confirmed() (table uint64, age time.Duration) { return o.g.catalog.Confirmed() }
+
 // Confirm implements exchange.Owner.
 func (o owner) Confirm(table uint64, at time.Duration) { o.g.catalog.Confirm(table, at) }
 
