Date a table only by stamps of this start of the process

Change: a report echoes the incarnation with the stamp; stamps of another one or of the future date nothing.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -289,7 +289,7 @@
 		x.owner.Forget(gone)
 	}
 	x.owner.Learn(key, s)
-	if proven.Echo > 0 {
+	if proven.dates(x.boot, x.uptime()) {
 		x.owner.Confirm(proven.Table, time.Duration(proven.Echo-proven.Age))
 	}
 	x.owner.SetOthers(others)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -183,6 +183,38 @@
 	require.Greater(t, confirmed(), timer.Uptime()-age-time.Second)
 }
 
+// Guards against a stamp of an earlier start of the VM: its time began anew, so
+// the stamp lay in the future and kept a table young. In hunts a gateway that had
+// lost power used a key more than 5 s after it was taken away.
+func TestConfirmOnlyOwnStamps(t *testing.T) {
+	a := start(t, "a", address(t))
+	conn, err := net.Dial("udp4", a.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	now := uint64(timer.Uptime())
+	for i, c := range []struct {
+		boot, echo uint64
+		confirms   bool
+	}{
+		{boot: 9, echo: now},
+		{boot: 1, echo: now + uint64(time.Hour)},
+		{boot: 1, echo: 0},
+		{boot: 1, echo: now, confirms: true},
+	} {
+		b, err := cbor.Marshal(map[int]any{1: "b", 2: 5, 3: i + 1, 5: map[string][2]int{"e": {i + 1, 0}}})
+		require.NoError(t, err)
+		tail, err := cbor.Marshal([]uint64{1, c.echo, c.boot, uint64(i), 0})
+		require.NoError(t, err)
+		_, err = conn.Write(append(b, tail...))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return a.owner.held() == i+1 }, 5*time.Second, time.Millisecond)
+		a.owner.mu.Lock()
+		_, found := a.owner.confirmed[uint64(i)]
+		a.owner.mu.Unlock()
+		require.Equal(t, c.confirms, found, "%+v", c)
+	}
+}
+
 // Guards against peers that have lost the directory and keep each other's tables
 // young: in a hunt nine of them used a key 5 s after it was taken away.
 func TestConfirmationsDoNotCreep(t *testing.T) {
@@ -219,7 +251,7 @@
 	send := func(boot, number uint64, held int) {
 		b, err := cbor.Marshal(map[int]any{1: "b", 2: boot, 3: number, 5: map[string][2]int{"e": {held, 0}}})
 		require.NoError(t, err)
-		tail, err := cbor.Marshal([]int64{1, 0, 0, 0})
+		tail, err := cbor.Marshal([]uint64{1, 0, 0, 0, 0})
 		require.NoError(t, err)
 		b = append(b, tail...)
 		_, err = conn.Write(b)
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -17,8 +18,11 @@
 type proof struct {
 	_ struct{} `cbor:",toarray"`
 	// Stamp is the sender's time, Echo the last stamp that the sender has from the
-	// receiver's incarnation, zero when it has none.
+	// receiver, zero when it has none.
 	Stamp, Echo int64
+	// Boot is the incarnation of the receiver that sent Echo. A VM that restarts
+	// begins its time anew.
+	Boot uint64
 	// Table is the version of the sender's table, and Age how long before this
 	// datagram it was confirmed. Age is taken after Echo.
 	Table uint64
@@ -47,20 +51,28 @@
 
 // proof returns the end of a datagram to a peer. Two VMs' clocks never meet in it.
 func (x *Exchange) proof(to netip.AddrPort) ([]byte, error) {
-	p := proof{Stamp: int64(x.uptime()), Echo: x.stamp(to)}
+	p := proof{Stamp: int64(x.uptime())}
+	p.Echo, p.Boot = x.echo(to)
 	table, age := x.owner.Confirmed()
 	p.Table, p.Age = table, int64(age)
 	return cbor.Marshal(p)
 }
 
-// stamp returns the last stamp of a peer, zero when there is none.
-func (x *Exchange) stamp(of netip.AddrPort) int64 {
+// echo returns the last stamp of a peer with the incarnation that sent it, zero
+// when there is none.
+func (x *Exchange) echo(of netip.AddrPort) (stamp int64, boot uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if p := x.peers[of]; p != nil {
-		return p.stamp
+		return p.stamp, p.boot
 	}
-	return 0
+	return 0, 0
+}
+
+// dates reports whether the proof can date a table for the incarnation boot at
+// the uptime now.
+func (p proof) dates(boot uint64, now time.Duration) bool {
+	return p.Boot == boot && p.Echo > 0 && p.Echo <= int64(now) && p.Age >= 0
 }
 
 // encode returns the next report.
