--- a/entry/call.go
+++ b/entry/call.go
@@ -64,9 +64,9 @@
 	Model string `json:"model"`
 	// Messages holds what a chat completion answers.
 	Messages            []json.RawMessage `json:"messages"`
-	Stream              bool   `json:"stream"`
-	MaxTokens           int    `json:"max_tokens"`
-	MaxCompletionTokens int    `json:"max_completion_tokens"`
+	Stream              bool              `json:"stream"`
+	MaxTokens           int               `json:"max_tokens"`
+	MaxCompletionTokens int               `json:"max_completion_tokens"`
 }
 
 // identify sets the organisation and tier from the document.
