Take no request after the end of a shutdown

Between the look that finds nothing open and the closing of connections a process still took requests and passed them on. Change: the process refuses requests, as not run, before it looks a last time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,9 @@
 	// draining is the time at which the shutdown began, zero before.
 	draining atomic.Pointer[time.Time]
 
+	// ended says that the shutdown takes no request any more.
+	ended atomic.Bool
+
 	// mu guards the fields below.
 	mu       sync.Mutex
 	suspects *suspect.List
@@ -233,12 +236,18 @@
 	end := start.Add(g.settings.Grace - exitMargin)
 	for now := start; now.Before(end) && ctx.Err() == nil; now = g.clock.Now() {
 		if now.Sub(start) >= leaveTime && g.open.Load() == 0 {
-			break
+			g.ended.Store(true)
+			// A request counts as open before it looks at ended, so one that came
+			// in between is seen here.
+			if g.open.Load() == 0 {
+				break
+			}
 		}
 		if g.clock.Sleep(ctx, housekeeping) != nil {
 			break
 		}
 	}
+	g.ended.Store(true)
 	g.log.Info("drained", "open", g.open.Load(), "after", g.clock.Now().Sub(start).Round(time.Millisecond))
 }
 
@@ -246,6 +255,9 @@
 // shutdown. Requests that come early in a shutdown are served: the balancer
 // still sends them, and most are done before the grace ends.
 func (g *Gateway) leavesBefore(limit time.Time) bool {
+	if g.ended.Load() {
+		return true
+	}
 	start := g.draining.Load()
 	if start == nil || g.clock.Now().Sub(*start) < acceptTime {
 		return false
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -347,3 +347,44 @@
 	}
 	require.Equal(t, 2, crashes)
 }
+
+// Guards against a request that arrives as a shutdown ends and is cut off after an
+// endpoint got it: in one of a row of scores LOST was broken so.
+func TestEndOfDrain(t *testing.T) {
+	p := newReplica(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(15 * time.Millisecond)
+		fmt.Fprint(w, "ok")
+	})
+	s := start(t, p)
+	replies := map[string]reply{}
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	stop := make(chan struct{})
+	for c := range 3 {
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(25 * time.Millisecond):
+				}
+				id := fmt.Sprint(c, "-", i)
+				got := s.ask("/send/x", id, "body", "Deadline-Ms", "300")
+				mu.Lock()
+				replies[id] = got
+				mu.Unlock()
+			}
+		})
+	}
+	s.gateway.Drain(context.Background())
+	time.Sleep(100 * time.Millisecond) // A process may be slow between the two.
+	require.NoError(t, s.gateway.Close())
+	close(stop)
+	callers.Wait()
+	for id, got := range replies {
+		if p.ran(id) > 0 {
+			require.NoError(t, got.err, id)
+			require.Equal(t, "ok", got.body, id)
+		}
+	}
+}
