Give no empty grant to a request whose time ends while it enters the queue

Cause: Acquire took the first value of the grant's channel without looking whether the queue had found the request too late. Its handler then panicked and net/http closed the connection. Ruled out: sending nothing for such a request; its caller would wait for its timer instead of hearing at once. Change: the channel is closed for a request that is too late, and both looks at it go on to the refusal. Result: TestEndsWhileEntering fails without the change (no refusal) and passes with it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -121,7 +121,7 @@
 // waiter is a request that waits.
 type waiter struct {
 	request Request
-	// granted receives one grant, or nil when the request waited too long.
+	// granted receives one grant. It is closed when the request waited too long.
 	granted chan *Grant
 }
 
@@ -228,8 +228,10 @@
 	}
 	select {
 	case g := <-w.granted:
-		s.changed()
-		return g, nil
+		if g != nil {
+			s.changed()
+			return g, nil
+		}
 	default:
 	}
 	s.changed()
@@ -342,7 +344,7 @@
 func (s *Scheduler) place(v *service) {
 	now := s.clock.Now()
 	for _, it := range v.waiting.Expire(now) {
-		it.Value.granted <- nil
+		close(it.Value.granted)
 	}
 	for v.waiting.Len() > 0 {
 		if !s.mayPlace(v, now) {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -210,3 +210,31 @@
 		require.LessOrEqual(t, time.Since(start), time.Second)
 	})
 }
+
+// advancing is a clock on which each look at the time takes a microsecond.
+type advancing struct {
+	damasktrail.Clock
+	looks time.Duration
+}
+
+func (c *advancing) Now() time.Time {
+	c.looks++
+	return c.Clock.Now().Add(c.looks * time.Microsecond)
+}
+
+// Guards against a place that is none: the time of a request may end between
+// entering the queue and the first look for a place.
+func TestEndsWhileEntering(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tasks := group.New(context.Background())
+		s := dispatch.New(&advancing{Clock: timer.New(tasks)}, "here", func() {})
+		s.SetEndpoints(endpoints(1, 1))
+		r := request(0)
+		r.Left = time.Nanosecond
+		g, refusal := s.Acquire(context.Background(), r)
+		require.Nil(t, g)
+		require.NotNil(t, refusal)
+		require.Equal(t, damasktrail.NotRun, refusal.Outcome)
+		tasks.Close()
+	})
+}
