--- a/agent/control.go
+++ b/agent/control.go
@@ -459,6 +459,9 @@
 		Limit:   c.limit.Value(),
 	}
 	res.PrefillRate, res.DecodeRate = c.meter.speed.Rates()
+	if !c.service {
+		res.Token = int(c.limit.Token().Microseconds())
+	}
 	if !c.healthy {
 		res.Limit = 0
 	}
--- a/policy.go
+++ b/policy.go
@@ -43,6 +43,10 @@
 	// all running requests; zero when not yet known.
 	PrefillRate float64 `cbor:"7,keyasint" json:"prefillrate"`
 	DecodeRate  float64 `cbor:"8,keyasint" json:"decoderate"`
+	// Token is the mean time between two tokens of one answer in microseconds,
+	// prefill of others in between included; zero when not yet known and for plain
+	// services.
+	Token int `cbor:"9,keyasint,omitempty" json:"token"`
 }
 
 // Candidate is one agent that could take a request.
--- a/policy/cost.go
+++ b/policy/cost.go
@@ -7,6 +7,8 @@
 )
 
 const (
+	// microsecond is the number of microseconds in a second.
+	microsecond = 1e6
 	// defaultPrefill and defaultDecode are speeds in tokens per second, assumed
 	// for an agent that has not reported any while no other has either.
 	defaultPrefill = 8000
@@ -25,8 +27,10 @@
 	// rest, as it may be lost or slow.
 	answer = 10
 	// longer is how many times its expected length an answer may reach, and late
-	// the weight of the time by which it would then miss the deadline.
-	longer = 3
+	// the weight of the time by which it would then miss the deadline. Where the
+	// logarithms of lengths deviate by 0.6, one answer in 700 is longer; with 3
+	// times the length one in 60 was, and urgent ones ended late on slow endpoints.
+	longer = 5
 	late   = 4
 	// maxDoubt bounds the age that counts, in seconds.
 	maxDoubt = 10
@@ -124,7 +128,8 @@
 	if c.Load.Limit > 0 {
 		inside = min(inside, c.Load.Limit)
 	}
-	answering := float64(r.Cost.Decode) * float64(inside) / decode
+	// Prefill of others in between makes them slower than that speed.
+	answering := float64(r.Cost.Decode) * max(float64(inside)/decode, float64(c.Load.Token)/microsecond)
 	res := ahead + own + answering
 	if r.Deadline > 0 {
 		res += late * max(0, own+longer*answering-r.Deadline.Seconds())
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -53,6 +53,8 @@
 	tight := damasktrail.Request{Cost: damasktrail.Cost{Prefill: 100, Decode: 1000}, Deadline: 5 * time.Second}
 	slowIdle := candidate(0.4, 0, 0)
 	fastBusy := candidate(1, 20000, 0)
+	slowToken := candidate(1, 0, 0)
+	slowToken.Load.Token = 10_000
 	crowd := candidate(1, 0, 0)
 	crowd.Load.Running, crowd.Inflight = 9, 3
 	for _, tt := range []struct {
@@ -73,6 +75,7 @@
 		{policy.CostFor, long, []damasktrail.Candidate{idle, cached}, []int{0, 3000}},
 		{policy.CostFor, tight, []damasktrail.Candidate{slowIdle, fastBusy}, []int{0, 3000}},
 		{policy.CostFor, request, []damasktrail.Candidate{{}, busy}, []int{3000, 0}},
+		{policy.CostFor, tight, []damasktrail.Candidate{slowToken, idle}, []int{0, 3000}},
 	} {
 		t.Run(tt.policy, func(t *testing.T) {
 			require.InDeltaSlice(t, tt.want, shares(t, must(t, tt.policy), tt.r, tt.c), 150)
--- a/rig/agent.go
+++ b/rig/agent.go
@@ -75,6 +75,9 @@
 		Running: len(a.inside), Waiting: a.waiting.Len(), Lowest: a.waiting.Lowest(), Limit: a.limit.Value(),
 		PrefillRate: a.pRate, DecodeRate: a.dRate,
 	}
+	if a.model == model {
+		l.Token = int(a.limit.Token().Microseconds())
+	}
 	work := a.waiting.Work()
 	l.Prefill, l.Decode = work.Prefill, work.Decode
 	for _, t := range a.order {
