--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -95,17 +96,14 @@
 	Prompt int
 }
 
-// Others is what peers report, summed over them. It must not be changed.
-type Others struct {
-	// Holds is by ID of the endpoint.
+// Report is what an entry tells its peers. It must not be changed.
+type Report struct {
+	// Holds is what its endpoints hold for it, by ID.
 	Holds map[string]Hold
 	// Waiting is the number of waiting requests by service and tier.
 	Waiting map[string]map[int]int
 }
 
-// Report is what this entry tells its peers.
-type Report = Others
-
 // service is what is known of one service.
 type service struct {
 	name string
@@ -127,20 +125,27 @@
 
 // Scheduler places requests. It is safe for use by several goroutines.
 type Scheduler struct {
-	clock  damasktrail.Clock
-	domain string
+	clock damasktrail.Clock
+	// name is that of this entry, domain its failure domain.
+	name, domain string
 	// changed is called without a lock after what Report returns has changed.
 	changed func()
 
 	mu       sync.Mutex
 	services map[string]*service
-	others   Others
-	next     uint64
+	// peers is the last report of each peer, others the sum of their holds.
+	peers  map[string]Report
+	others map[string]Hold
+	next   uint64
 }
 
-// New returns a scheduler without endpoints for an entry in a failure domain.
-func New(clock damasktrail.Clock, domain string, changed func()) *Scheduler {
-	return &Scheduler{clock: clock, domain: domain, changed: changed, services: map[string]*service{}}
+// New returns a scheduler without endpoints for an entry in a failure domain. The
+// name must be the one that peers use in [Scheduler.SetPeer].
+func New(clock damasktrail.Clock, name, domain string, changed func()) *Scheduler {
+	return &Scheduler{
+		clock: clock, name: name, domain: domain, changed: changed,
+		services: map[string]*service{}, peers: map[string]Report{}, others: map[string]Hold{},
+	}
 }
 
 // SetEndpoints replaces the list of endpoints. What is known of those that stay
@@ -174,16 +179,39 @@
 	}
 }
 
-// SetOthers replaces what peers report.
-func (s *Scheduler) SetOthers(o Others) {
+// SetPeer replaces what one peer reports. An empty report is that of a peer that
+// is gone.
+func (s *Scheduler) SetPeer(name string, r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.others = o
+	for id, h := range s.peers[name].Holds {
+		s.addOthers(id, Hold{Requests: -h.Requests, Prompt: -h.Prompt})
+	}
+	for id, h := range r.Holds {
+		s.addOthers(id, h)
+	}
+	if len(r.Holds) == 0 && len(r.Waiting) == 0 {
+		delete(s.peers, name)
+	} else {
+		s.peers[name] = r
+	}
 	for _, v := range s.services {
 		s.place(v)
 	}
 }
 
+// addOthers adds to what an endpoint holds for peers.
+func (s *Scheduler) addOthers(id string, h Hold) {
+	sum := s.others[id]
+	sum.Requests += h.Requests
+	sum.Prompt += h.Prompt
+	if sum == (Hold{}) {
+		delete(s.others, id)
+		return
+	}
+	s.others[id] = sum
+}
+
 // Tick places what waits for the end of a pause.
 func (s *Scheduler) Tick() {
 	s.mu.Lock()
@@ -328,9 +356,11 @@
 			ahead += count
 		}
 	})
-	for rank, count := range s.others.Waiting[v.name] {
-		if rank <= r.Tier {
-			ahead += count
+	for _, p := range s.peers {
+		for rank, count := range p.Waiting[v.name] {
+			if rank <= r.Tier {
+				ahead += count
+			}
 		}
 	}
 	if ahead < free {
@@ -346,46 +376,28 @@
 	for _, it := range v.waiting.Expire(now) {
 		close(it.Value.granted)
 	}
-	for v.waiting.Len() > 0 {
-		if !s.mayPlace(v, now) {
-			return
-		}
+	if v.waiting.Len() == 0 {
+		return
+	}
+	places, left := s.allot(v, now)
+	for ; left > 0; left-- {
 		it, ok := v.waiting.Pop(now)
 		if !ok {
 			return
 		}
 		w := it.Value
-		e, free := s.choose(v, w.request, now)
-		if e == nil {
-			// Not reached while mayPlace and choose agree on what is free.
-			_, _ = v.waiting.Push(it, now)
-			return
-		}
+		e := s.choose(v, w.request, places)
 		g := &Grant{Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, since: now}
 		g.Choice = Choice{
-			Own: len(e.grants), Peers: s.others.Holds[e.ID].Requests,
-			Pace: time.Duration(e.pace * float64(time.Second)), Free: free,
+			Own: len(e.grants), Peers: s.others[e.ID].Requests,
+			Pace: time.Duration(e.pace * float64(time.Second)), Free: len(places),
 		}
 		e.grants[g] = struct{}{}
-		w.granted <- g
-	}
-}
-
-// mayPlace reports whether a free place is left for the highest tier that waits
-// here, after the places for higher tiers that wait at peers.
-func (s *Scheduler) mayPlace(v *service, now time.Time) bool {
-	better := 0
-	own := v.waiting.Highest()
-	for rank, count := range s.others.Waiting[v.name] {
-		if rank < own {
-			better += count
+		if places[e]--; places[e] == 0 {
+			delete(places, e)
 		}
+		w.granted <- g
 	}
-	free := 0
-	for _, e := range v.endpoints {
-		free += s.free(v, e, now)
-	}
-	return free > better
 }
 
 // free returns the number of places that an endpoint has for this entry now.
@@ -399,31 +411,21 @@
 	return max(0, v.capacity(e)-s.taken(e))
 }
 
-// choose returns the endpoint with a free place at which the first byte is
-// expected the soonest, nil when there is none, and the number of endpoints with
-// a free place.
-func (s *Scheduler) choose(v *service, r Request, now time.Time) (best *endpoint, count int) {
+// choose returns the endpoint among the places at which the first byte is
+// expected the soonest. There must be a place.
+func (s *Scheduler) choose(v *service, r Request, places map[*endpoint]int) *endpoint {
 	fastest := math.Inf(1)
 	for _, e := range v.endpoints {
 		if e.pace > 0 {
 			fastest = min(fastest, e.pace)
 		}
 	}
-	var free []*endpoint
-	for _, e := range v.endpoints {
-		if s.free(v, e, now) > 0 {
-			free = append(free, e)
-		}
-	}
-	if len(free) == 0 {
-		return nil, 0
-	}
 	work := func(e *endpoint) float64 {
 		slower := 1.0
 		if e.pace > 0 {
 			slower = e.pace / fastest
 		}
-		held, others := e.held(), s.others.Holds[e.ID]
+		held, others := e.held(), s.others[e.ID]
 		res := slower * float64(baseWork+r.Prompt+held.Prompt+others.Prompt)
 		res += slower * baseWork * float64(held.Requests+others.Requests) / float64(e.Slots)
 		res += failWork * e.failing
@@ -435,10 +437,9 @@
 		}
 		return res
 	}
-	best = slices.MinFunc(free, func(a, b *endpoint) int {
+	return slices.MinFunc(slices.Collect(maps.Keys(places)), func(a, b *endpoint) int {
 		return cmp.Or(cmp.Compare(work(a), work(b)), cmp.Compare(a.ID, b.ID))
 	})
-	return best, len(free)
 }
 
 // service returns the service of that name and makes it when absent.
@@ -459,7 +460,7 @@
 
 // taken returns the number of places that are taken at an endpoint.
 func (s *Scheduler) taken(e *endpoint) int {
-	return len(e.grants) + s.others.Holds[e.ID].Requests
+	return len(e.grants) + s.others[e.ID].Requests
 }
 
 // capacity is the number of places of an endpoint.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -21,7 +21,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		tasks := group.New(context.Background())
 		clock := timer.New(tasks)
-		s := dispatch.New(clock, "here", func() {})
+		s := dispatch.New(clock, "own", "here", func() {})
 		s.SetEndpoints(list)
 		cancel := clock.Subscribe(20*time.Millisecond, func(time.Time) { s.Tick() })
 		f(s)
@@ -78,7 +78,7 @@
 // those of peers: it would take them in order of arrival, whatever their tier.
 func TestPlaces(t *testing.T) {
 	play(t, endpoints(2, 4), func(s *dispatch.Scheduler) {
-		s.SetOthers(dispatch.Others{Holds: map[string]dispatch.Hold{"e0": {Requests: 3}}})
+		s.SetPeer("peer", dispatch.Report{Holds: map[string]dispatch.Hold{"e0": {Requests: 3}}})
 		count := map[string]int{}
 		for range 5 {
 			count[acquire(t, s, request(0)).Endpoint.ID]++
@@ -97,11 +97,11 @@
 	play(t, endpoints(1, 2), func(s *dispatch.Scheduler) {
 		held := acquire(t, s, request(0))
 		defer held.Done(dispatch.Answered, 0)
-		s.SetOthers(dispatch.Others{Waiting: map[string]map[int]int{"llm": {0: 1}}})
+		s.SetPeer("peer", dispatch.Report{Waiting: map[string]map[int]int{"llm": {0: 1}}})
 		_, refusal := s.Acquire(context.Background(), request(1))
 		require.NotNil(t, refusal)
 		acquire(t, s, request(0)).Done(dispatch.Answered, 0)
-		s.SetOthers(dispatch.Others{})
+		s.SetPeer("peer", dispatch.Report{})
 		acquire(t, s, request(1)).Done(dispatch.Answered, 0)
 	})
 }
@@ -227,7 +227,7 @@
 func TestEndsWhileEntering(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tasks := group.New(context.Background())
-		s := dispatch.New(&advancing{Clock: timer.New(tasks)}, "here", func() {})
+		s := dispatch.New(&advancing{Clock: timer.New(tasks)}, "own", "here", func() {})
 		s.SetEndpoints(endpoints(1, 1))
 		r := request(0)
 		r.Left = time.Nanosecond
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -20,8 +20,23 @@
 	// failures counts broken connections in a row. With one or more, a single
 	// request at a time tries the endpoint again.
 	failures int
+	// freeSince is the time since which it has a free place, zero when it has none.
+	freeSince time.Time
 }
 
+// noteFree notes the number of free places.
+func (e *endpoint) noteFree(places int, now time.Time) {
+	switch {
+	case places == 0:
+		e.freeSince = time.Time{}
+	case e.freeSince.IsZero():
+		e.freeSince = now
+	}
+}
+
+// turn counts the entries whose turn at a free place is over.
+func (e *endpoint) turn(now time.Time) int { return int(now.Sub(e.freeSince) / turnTime) }
+
 // held returns what the endpoint holds for this entry.
 func (e *endpoint) held() Hold {
 	res := Hold{Requests: len(e.grants)}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"damasktrail.dev"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/fleet"
 	"damasktrail.dev/group"
@@ -27,40 +29,55 @@
 // tally is what the callers of one kind got.
 type tally struct{ asked, inTime, late, refused int }
 
-// playLoad sends requests to entries that share endpoints. Two of three
-// endpoints are fast, the third takes four times as long. Reports of an entry
-// reach its peers after 2 ms.
-func playLoad(t *testing.T, entries, engines int, perSecond float64, kinds []kind) []tally {
+// fleetOf is a fleet of a played load. Two of three engines are fast, the third
+// takes four times as long. An engine runs four requests at a time and takes more
+// in order of arrival.
+type fleetOf struct {
+	entries, engines int
+	// perSecond is the mean number of requests of all callers.
+	perSecond float64
+	// reports is the time between two reports of an entry to its peers.
+	reports time.Duration
+}
+
+// engine is one engine of a played load.
+type engine struct {
+	// slots takes one element for each request that runs.
+	slots  chan struct{}
+	slower float64
+}
+
+const slots = 4
+
+// play sends requests for 20 s and returns what the callers of each kind got.
+func (f fleetOf) play(t *testing.T, kinds []kind) []tally {
 	res := make([]tally, len(kinds))
 	var mu sync.Mutex
 	synctest.Test(t, func(*testing.T) {
 		tasks := group.New(context.Background())
 		clock := timer.New(tasks)
 		list := fleet.List{}
-		slower := map[string]float64{}
-		for i := range engines {
-			e := fleet.Endpoint{ID: string(rune('a' + i)), Service: "llm", Domain: "d", Slots: 4}
+		engines := map[string]engine{}
+		for i := range f.engines {
+			e := fleet.Endpoint{ID: fmt.Sprintf("i-%03d", i), Service: "llm", Domain: "d", Slots: slots}
 			list = list.With(e)
-			slower[e.ID] = 0.7
-			if i%3 == 2 {
-				slower[e.ID] = 3
-			}
+			engines[e.ID] = engine{slots: make(chan struct{}, slots), slower: []float64{0.7, 0.7, 3}[i%3]}
 		}
-		schedulers := make([]*dispatch.Scheduler, entries)
+		schedulers := make([]*dispatch.Scheduler, f.entries)
 		for i := range schedulers {
-			schedulers[i] = dispatch.New(clock, "d", func() {})
+			schedulers[i] = dispatch.New(clock, fmt.Sprint("entry", i), "d", func() {})
 			schedulers[i].SetEndpoints(list)
 		}
-		stop := clock.Subscribe(2*time.Millisecond, func(time.Time) { share(schedulers) })
+		stop := f.share(clock, schedulers)
 		random := rand.New(rand.NewPCG(1, 2))
 		requests := group.New(context.Background())
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
-			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+			time.Sleep(time.Duration(random.ExpFloat64() / f.perSecond * float64(time.Second)))
 			k := draw(kinds, random.Float64())
-			s := schedulers[random.IntN(entries)]
+			s := schedulers[random.IntN(f.entries)]
 			stretch := 0.3 + random.ExpFloat64()*0.7
 			requests.Go(func(ctx context.Context) {
-				got := ask(ctx, s, kinds[k], stretch, slower)
+				got := ask(ctx, s, kinds[k], stretch, engines)
 				mu.Lock()
 				defer mu.Unlock()
 				res[k].asked++
@@ -81,30 +98,19 @@
 	return res
 }
 
-// share tells each scheduler what the others hold.
-func share(schedulers []*dispatch.Scheduler) {
-	reports := make([]dispatch.Report, len(schedulers))
-	for i, s := range schedulers {
-		reports[i] = s.Report()
-	}
-	for i, s := range schedulers {
-		others := dispatch.Others{Holds: map[string]dispatch.Hold{}, Waiting: map[string]map[int]int{"llm": {}}}
-		for j, r := range reports {
-			if i == j {
-				continue
-			}
-			for id, h := range r.Holds {
-				sum := others.Holds[id]
-				sum.Requests += h.Requests
-				sum.Prompt += h.Prompt
-				others.Holds[id] = sum
-			}
-			for tier, n := range r.Waiting["llm"] {
-				others.Waiting["llm"][tier] += n
+// share lets each entry report to the others, one after the other.
+func (f fleetOf) share(clock damasktrail.Clock, schedulers []*dispatch.Scheduler) (stop func()) {
+	next := 0
+	return clock.Subscribe(f.reports/time.Duration(f.entries), func(time.Time) {
+		r := schedulers[next].Report()
+		for i, s := range schedulers {
+			if i != next {
+				s.SetPeer(fmt.Sprint("entry", next), r)
 			}
 		}
-		s.SetOthers(others)
-	}
+		next = (next + 1) % len(schedulers)
+		schedulers[next].Tick()
+	})
 }
 
 func draw(kinds []kind, x float64) int {
@@ -118,7 +124,7 @@
 }
 
 // ask returns the time to the first byte, zero when the request was refused.
-func ask(ctx context.Context, s *dispatch.Scheduler, k kind, stretch float64, slower map[string]float64) time.Duration {
+func ask(ctx context.Context, s *dispatch.Scheduler, k kind, stretch float64, engines map[string]engine) time.Duration {
 	start := time.Now()
 	g, refusal := s.Acquire(ctx, dispatch.Request{
 		Service: "llm", Engine: true, Organisation: "o", Tier: k.tier,
@@ -127,13 +133,15 @@
 	if refusal != nil {
 		return 0
 	}
-	factor := slower[g.Endpoint.ID]
-	time.Sleep(time.Duration(factor * float64(100*time.Millisecond)))
+	e := engines[g.Endpoint.ID]
+	e.slots <- struct{}{}
+	time.Sleep(time.Duration(e.slower * float64(100*time.Millisecond)))
 	g.Started()
 	first := time.Since(start)
-	hold := time.Duration(stretch * factor * float64(k.hold))
+	hold := time.Duration(stretch * e.slower * float64(k.hold))
 	time.Sleep(hold)
-	g.Done(dispatch.Answered, time.Duration(factor*float64(13*time.Millisecond)))
+	<-e.slots
+	g.Done(dispatch.Answered, time.Duration(e.slower*float64(13*time.Millisecond)))
 	return first
 }
 
@@ -149,7 +157,7 @@
 // routine ones are served: it plays twice what nine engines can hold, from five
 // entries.
 func TestBurst(t *testing.T) {
-	got := playLoad(t, 5, 9, 90, fairs)
+	got := fleetOf{entries: 5, engines: 9, perSecond: 90, reports: 10 * time.Millisecond}.play(t, fairs)
 	for i, k := range got {
 		t.Logf("tier %d: %+v", i, k)
 	}
@@ -160,7 +168,7 @@
 
 // Guards against refusals and late answers while there is room for all.
 func TestCalm(t *testing.T) {
-	got := playLoad(t, 5, 9, 25, fairs)
+	got := fleetOf{entries: 5, engines: 9, perSecond: 25, reports: 10 * time.Millisecond}.play(t, fairs)
 	for i, k := range got {
 		t.Logf("tier %d: %+v", i, k)
 		require.Greater(t, k.inTime, 98*k.asked/100)
@@ -169,13 +177,16 @@
 
 // Guards against a policy that fits one size only.
 func TestOtherSizes(t *testing.T) {
-	for _, c := range []struct {
-		entries, engines int
-		perSecond        float64
-	}{{1, 3, 30}, {3, 12, 120}, {12, 24, 240}} {
-		got := playLoad(t, c.entries, c.engines, c.perSecond, fairs)
-		t.Logf("%+v: %+v", c, got)
-		require.Greater(t, got[0].inTime, 90*got[0].asked/100, "%+v", c)
-		require.Greater(t, got[0].inTime*got[2].asked, got[2].inTime*got[0].asked, "%+v", c)
+	for _, f := range []fleetOf{
+		{entries: 1, engines: 3, perSecond: 30, reports: 4 * time.Millisecond},
+		{entries: 3, engines: 12, perSecond: 120, reports: 8 * time.Millisecond},
+		{entries: 12, engines: 24, perSecond: 240, reports: 30 * time.Millisecond},
+		{entries: 24, engines: 44, perSecond: 240, reports: 60 * time.Millisecond},
+		{entries: 24, engines: 44, perSecond: 440, reports: 60 * time.Millisecond},
+	} {
+		got := f.play(t, fairs)
+		t.Logf("%+v: %+v", f, got)
+		require.Greater(t, got[0].inTime, 90*got[0].asked/100, "%+v", f)
+		require.Greater(t, got[0].inTime*got[2].asked, got[2].inTime*got[0].asked, "%+v", f)
 	}
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -69,6 +69,15 @@
 	Suspects []frame.Suspect
 }
 
+// Peer is one incarnation of another entry.
+type Peer struct {
+	Name string
+	Boot uint64
+}
+
+// String returns the name and the incarnation.
+func (p Peer) String() string { return fmt.Sprintf("%s/%d", p.Name, p.Boot) }
+
 // Owner is told what peers report.
 type Owner interface {
 	// State returns what this entry reports after every change.
@@ -76,38 +85,37 @@
 	// Summary returns what this entry reports now and then, with at most the given
 	// number of suspects.
 	Summary(suspects int) Summary
-	// Learn takes the report of one peer. The name includes its incarnation.
-	Learn(peer string, s State)
+	// Learn takes the report of one peer.
+	Learn(peer Peer, s State)
 	// LearnSummary takes the summary of one peer.
-	LearnSummary(peer string, s Summary)
+	LearnSummary(peer Peer, s Summary)
 	// Confirmed returns the version of the table in force and the time since it was
 	// known to be the newest, both of one moment.
 	Confirmed() (table uint64, age time.Duration)
 	// Confirm says that a peer knew the table of that version to be the newest at
 	// the given uptime of this VM.
 	Confirm(table uint64, at time.Duration)
+	// Silent says that a peer's state no longer counts.
+	Silent(peer Peer)
 	// Forget says that a peer's incarnation is gone.
-	Forget(peer string)
-	// SetOthers takes the sum over the peers.
-	SetOthers(o dispatch.Others)
+	Forget(peer Peer)
+	// PeersChanged says that Peers returns others than before.
+	PeersChanged()
 }
 
 // peer is what is known at one address.
 type peer struct {
-	name   string
-	boot   uint64
+	Peer
 	number uint64
 	heard  time.Time
 	// sent is the time of the last report to it.
 	sent time.Time
 	// stamp is the last stamp that it sent.
-	stamp  int64
-	state  State
-	silent bool
+	stamp   int64
+	leaving bool
+	silent  bool
 }
 
-func (p *peer) key() string { return fmt.Sprintf("%s/%d", p.name, p.boot) }
-
 // Exchange sends and receives reports. It is safe for use by several goroutines.
 type Exchange struct {
 	name    string
@@ -293,82 +301,56 @@
 	x.mu.Lock()
 	x.add(from)
 	p := x.peers[from]
-	if p == nil || p.boot == m.Boot && m.Number <= p.number {
+	if p == nil || p.Boot == m.Boot && m.Number <= p.number {
 		x.mu.Unlock()
 		return
 	}
-	gone := ""
-	if p.name != "" && p.boot != m.Boot {
-		gone = p.key()
-	}
-	regained := p.silent
-	p.name, p.boot, p.number = m.Name, m.Boot, m.Number
-	p.heard, p.state, p.silent = x.clock.Now(), s, false
+	before, regained := p.Peer, p.silent
+	p.Peer, p.number = Peer{Name: m.Name, Boot: m.Boot}, m.Number
+	p.heard, p.leaving, p.silent = x.clock.Now(), s.Leaving, false
 	p.stamp = proven.Stamp
 	x.addAll(m.Summary)
-	key := p.key()
-	others := x.others()
+	now := p.Peer
 	x.mu.Unlock()
 	if regained {
 		x.log.Info("peer live", "peer", m.Name, "boot", m.Boot, "table", m.Table)
 	}
-	if gone != "" {
-		x.owner.Forget(gone)
+	if before.Name != "" && before != now {
+		x.owner.Forget(before)
 	}
-	x.owner.Learn(key, s)
+	if regained {
+		x.owner.PeersChanged()
+	}
+	x.owner.Learn(now, s)
 	if m.Summary != nil {
-		x.owner.LearnSummary(key, m.Summary.values())
+		x.owner.LearnSummary(now, m.Summary.values())
 	}
 	if proven.dates(x.boot, x.uptime()) {
 		x.owner.Confirm(proven.Table, time.Duration(proven.Echo-proven.Age))
 	}
-	x.owner.SetOthers(others)
-}
-
-// others sums the reports of the peers. It is called with mu held.
-func (x *Exchange) others() dispatch.Others {
-	res := dispatch.Others{Holds: map[string]dispatch.Hold{}, Waiting: map[string]map[int]int{}}
-	for _, p := range x.peers {
-		if p.silent {
-			continue
-		}
-		for id, h := range p.state.Dispatch.Holds {
-			sum := res.Holds[id]
-			sum.Requests += h.Requests
-			sum.Prompt += h.Prompt
-			res.Holds[id] = sum
-		}
-		for service, tiers := range p.state.Dispatch.Waiting {
-			if res.Waiting[service] == nil {
-				res.Waiting[service] = map[int]int{}
-			}
-			for tier, count := range tiers {
-				res.Waiting[service][tier] += count
-			}
-		}
-	}
-	return res
 }
 
 // tick reports to quiet peers and drops what silent ones reported.
 func (x *Exchange) tick(now time.Time) {
+	var silent []Peer
 	x.mu.Lock()
-	changed := false
 	for a, p := range x.peers {
 		switch {
-		case p.name == "" || now.Sub(p.heard) < life:
+		case p.Name == "" || now.Sub(p.heard) < life:
 		case !p.silent:
 			p.silent = true
-			changed = true
-			x.log.Warn("peer silent", "peer", p.name, "boot", p.boot, "silence", now.Sub(p.heard).Round(time.Millisecond))
+			silent = append(silent, p.Peer)
+			x.log.Warn("peer silent", "peer", p.Name, "boot", p.Boot, "silence", now.Sub(p.heard).Round(time.Millisecond))
 		case now.Sub(p.heard) > forget && !slices.Contains(x.seeds, a):
 			delete(x.peers, a)
 		}
 	}
-	others := x.others()
 	x.mu.Unlock()
-	if changed {
-		x.owner.SetOthers(others)
+	for _, p := range silent {
+		x.owner.Silent(p)
+	}
+	if len(silent) > 0 {
+		x.owner.PeersChanged()
 	}
 	x.report(now, interval)
 }
@@ -378,7 +360,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for p := range maps.Values(x.peers) {
-		if !p.silent && !p.state.Leaving {
+		if !p.silent && !p.leaving {
 			return true
 		}
 	}
@@ -392,7 +374,7 @@
 	var res []string
 	for p := range maps.Values(x.peers) {
 		if !p.silent {
-			res = append(res, p.name)
+			res = append(res, p.Name)
 		}
 	}
 	slices.Sort(res)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -25,7 +25,6 @@
 type owner struct {
 	mu     sync.Mutex
 	state  exchange.State
-	others dispatch.Others
 	learnt map[string]exchange.State
 	// summary is what it reports, summaries what peers did.
 	summary   exchange.Summary
@@ -43,13 +42,13 @@
 	return o.state
 }
 
-func (o *owner) Learn(peer string, s exchange.State) {
+func (o *owner) Learn(peer exchange.Peer, s exchange.State) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.learnt == nil {
 		o.learnt = map[string]exchange.State{}
 	}
-	o.learnt[peer] = s
+	o.learnt[peer.String()] = s
 }
 
 func (o *owner) Summary(suspects int) exchange.Summary {
@@ -60,13 +59,13 @@
 	return res
 }
 
-func (o *owner) LearnSummary(peer string, s exchange.Summary) {
+func (o *owner) LearnSummary(peer exchange.Peer, s exchange.Summary) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.summaries == nil {
 		o.summaries = map[string]exchange.Summary{}
 	}
-	o.summaries[peer] = s
+	o.summaries[peer.String()] = s
 }
 
 func (o *owner) Confirmed() (table uint64, age time.Duration) {
@@ -90,22 +89,30 @@
 	o.confirmed[table] = max(at, o.confirmed[table])
 }
 
-func (o *owner) Forget(peer string) {
+func (o *owner) Forget(peer exchange.Peer) {
+	o.Silent(peer)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.gone = append(o.gone, peer)
+	o.gone = append(o.gone, peer.String())
 }
 
-func (o *owner) SetOthers(others dispatch.Others) {
+func (o *owner) Silent(peer exchange.Peer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.others = others
+	delete(o.learnt, peer.String())
 }
 
+func (o *owner) PeersChanged() {}
+
+// held returns what the endpoint e holds for all peers.
 func (o *owner) held() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.others.Holds["e"].Requests
+	res := 0
+	for _, s := range o.learnt {
+		res += s.Dispatch.Holds["e"].Requests
+	}
+	return res
 }
 
 // node is one entry's exchange.
@@ -166,7 +173,8 @@
 	require.Eventually(t, func() bool { return !a.Available() }, 5*time.Second, 10*time.Millisecond)
 	a.owner.mu.Lock()
 	defer a.owner.mu.Unlock()
-	require.Equal(t, 2, a.owner.others.Waiting["s"][2])
+	require.Equal(t, 1, a.owner.learnt["b/1"].Dispatch.Waiting["s"][2])
+	require.Equal(t, 1, a.owner.learnt["c/1"].Dispatch.Waiting["s"][2])
 	require.Equal(t, uint64(7), a.owner.learnt["b/1"].Table)
 	require.Equal(t, quota.Usage{"o": 2}, a.owner.summaries["c/1"].Usage)
 }
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -86,7 +86,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if p := x.peers[of]; p != nil {
-		return p.stamp, p.boot
+		return p.stamp, p.Boot
 	}
 	return 0, 0
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,7 @@
 	}
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
 	g.catalog = catalog.New(directory, clock, uptime, g.rank, log, g.adopt)
-	g.scheduler = dispatch.New(clock, s.Domain, func() { g.exchange.Changed() })
+	g.scheduler = dispatch.New(clock, s.Name, s.Domain, func() { g.exchange.Changed() })
 	g.exchange, err = exchange.New(s.Name, s.Peers, s.Seeds, boot, owner{g}, clock, uptime, log)
 	if err != nil {
 		return nil, err
@@ -319,14 +319,15 @@
 }
 
 // Learn implements exchange.Owner.
-func (o owner) Learn(_ string, s exchange.State) {
+func (o owner) Learn(peer exchange.Peer, s exchange.State) {
 	o.g.catalog.Hint(s.Table)
+	o.g.scheduler.SetPeer(peer.Name, s.Dispatch)
 }
 
 // LearnSummary implements exchange.Owner.
-func (o owner) LearnSummary(peer string, s exchange.Summary) {
+func (o owner) LearnSummary(peer exchange.Peer, s exchange.Summary) {
 	g := o.g
-	g.quotas.Learn(peer, s.Usage, g.clock.Now())
+	g.quotas.Learn(peer.String(), s.Usage, g.clock.Now())
 	if len(s.Suspects) == 0 {
 		return
 	}
@@ -341,13 +342,18 @@
 // Confirm implements exchange.Owner.
 func (o owner) Confirm(table uint64, at time.Duration) { o.g.catalog.Confirm(table, at) }
 
+// Silent implements exchange.Owner.
+func (o owner) Silent(peer exchange.Peer) { o.g.scheduler.SetPeer(peer.Name, dispatch.Report{}) }
+
 // Forget implements exchange.Owner.
-func (o owner) Forget(peer string) { o.g.quotas.Forget(peer) }
+func (o owner) Forget(peer exchange.Peer) {
+	o.g.scheduler.SetPeer(peer.Name, dispatch.Report{})
+	o.g.quotas.Forget(peer.String())
+}
 
-// SetOthers implements exchange.Owner.
-func (o owner) SetOthers(others dispatch.Others) {
+// PeersChanged implements exchange.Owner.
+func (o owner) PeersChanged() {
 	g := o.g
-	g.scheduler.SetOthers(others)
 	entries := g.entries()
 	g.mu.Lock()
 	defer g.mu.Unlock()
