Tell peers which endpoints take no connections, and try six

Ruled out: sharing broken answers too: where answers are lost (answer_lost) all gateways would leave sound endpoints out. Change: reports name endpoints that take no connections; peers pause these once. A request tries six endpoints, since a refused connection costs milliseconds.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -104,6 +104,8 @@
 	Holds map[string]Hold
 	// Waiting is the number of waiting requests by service and tier.
 	Waiting map[string]map[int]int
+	// Down has the IDs of endpoints that take no connections from it.
+	Down []string
 }
 
 // service is what is known of one service.
@@ -192,7 +194,8 @@
 	for id, h := range r.Holds {
 		s.addOthers(id, h)
 	}
-	if len(r.Holds) == 0 && len(r.Waiting) == 0 {
+	s.learnDown(s.peers[name].Down, r.Down)
+	if len(r.Holds)+len(r.Waiting)+len(r.Down) == 0 {
 		delete(s.peers, name)
 	} else {
 		s.peers[name] = r
@@ -202,6 +205,23 @@
 	}
 }
 
+// learnDown pauses endpoints that a peer could not reach any more. It answers a
+// crash: the endpoint then holds nothing, and looks like the best choice to each
+// entry that has not tried it. A peer that is cut off itself says so once, and the
+// next request to the endpoint ends the pause.
+func (s *Scheduler) learnDown(before, now []string) {
+	for _, id := range now {
+		if slices.Contains(before, id) {
+			continue
+		}
+		for _, v := range s.services {
+			if e := v.endpoints[id]; e != nil && e.failures == 0 {
+				e.pause(s.clock.Now())
+			}
+		}
+	}
+}
+
 // addOthers adds to what an endpoint holds for peers.
 func (s *Scheduler) addOthers(id string, h Hold) {
 	sum := s.others[id]
@@ -233,6 +253,9 @@
 			if h := e.held(); h.Requests > 0 {
 				res.Holds[id] = h
 			}
+			if e.down {
+				res.Down = append(res.Down, id)
+			}
 		}
 		v.waiting.Waiting(func(rank, count int) {
 			if res.Waiting[name] == nil {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -148,6 +148,45 @@
 	})
 }
 
+// Guards against each entry trying an endpoint that crashed, which holds nothing
+// and so looks best: on a played day requests were refused after three tries. A
+// peer that cannot reach an endpoint which lives must not keep others from it.
+func TestDownAtPeer(t *testing.T) {
+	play(t, endpoints(2, 4), func(s *dispatch.Scheduler) {
+		busy := acquire(t, s, request(0))
+		down := "e1"
+		if busy.Endpoint.ID == down {
+			down = "e0"
+		}
+		report := dispatch.Report{Down: []string{down}}
+		s.SetPeer("peer", report)
+		for range 3 {
+			require.Equal(t, busy.Endpoint.ID, acquire(t, s, request(0)).Endpoint.ID)
+		}
+		time.Sleep(600 * time.Millisecond)
+		acquire(t, s, request(0)).Done(dispatch.Answered, 0)
+		s.SetPeer("peer", report)
+		for range 4 {
+			require.Equal(t, down, acquire(t, s, request(0)).Endpoint.ID)
+		}
+	})
+}
+
+// Guards against a peer that is not told of an endpoint that takes no connections.
+func TestReportsDown(t *testing.T) {
+	play(t, endpoints(1, 4), func(s *dispatch.Scheduler) {
+		broken := acquire(t, s, request(0))
+		broken.Done(dispatch.Broken, 0)
+		require.Empty(t, s.Report().Down)
+		time.Sleep(600 * time.Millisecond)
+		acquire(t, s, request(0)).Done(dispatch.Unreachable, 0)
+		require.Equal(t, []string{"e0"}, s.Report().Down)
+		time.Sleep(1100 * time.Millisecond)
+		acquire(t, s, request(0)).Done(dispatch.Answered, 0)
+		require.Empty(t, s.Report().Down)
+	})
+}
+
 // Guards against endpoints that draw requests because they fail them at once: of
 // four endpoints three fail two requests in five, and the fourth has room for
 // all.
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -20,10 +20,19 @@
 	// failures counts broken connections in a row. With one or more, a single
 	// request at a time tries the endpoint again.
 	failures int
+	// down says that the last connection could not be made.
+	down bool
 	// freeSince is the time since which it has a free place, zero when it has none.
 	freeSince time.Time
 }
 
+// pause keeps requests from the endpoint for the longer, the more failures it has
+// had in a row.
+func (e *endpoint) pause(now time.Time) {
+	e.paused = now.Add(min(firstPause<<min(e.failures, 10), maxPause))
+	e.failures++
+}
+
 // noteFree notes the number of free places.
 func (e *endpoint) noteFree(places int, now time.Time) {
 	switch {
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -19,8 +19,10 @@
 	Full
 	// Failed is a failure that the endpoint answered with.
 	Failed
-	// Broken is a connection that could not be made or broke.
+	// Broken is a connection that broke, or an answer by another endpoint.
 	Broken
+	// Unreachable is a connection that could not be made. Peers are told.
+	Unreachable
 )
 
 // Choice is what was known of an endpoint when it was chosen.
@@ -82,7 +84,7 @@
 	v := g.service
 	switch result {
 	case Answered:
-		e.failures = 0
+		e.failures, e.down = 0, false
 		e.failing -= smoothing * e.failing
 		v.health.Answer(e.ID, 0, now)
 		v.hold += smoothing * (now.Sub(g.since).Seconds() - v.hold)
@@ -90,14 +92,16 @@
 			e.learnPace(pace.Seconds())
 		}
 	case Failed:
-		e.failures = 0
+		e.failures, e.down = 0, false
 		e.failing += smoothing * (1 - e.failing)
 		v.health.Fail(e.ID, now)
 	case Full:
 		e.paused = now.Add(fullPause)
 	case Broken:
-		e.paused = now.Add(min(firstPause<<min(e.failures, 10), maxPause))
-		e.failures++
+		e.pause(now)
+	case Unreachable:
+		e.pause(now)
+		e.down = true
 	case Cancelled:
 	}
 }
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -46,6 +46,8 @@
 	Leaving bool `cbor:"8,keyasint,omitempty"`
 	// Domain is the sender's failure domain.
 	Domain string `cbor:"9,keyasint,omitempty"`
+	// Down has the endpoints that take no connections.
+	Down []string `cbor:"10,keyasint,omitempty"`
 }
 
 // summary is a Summary on the wire.
@@ -104,6 +106,7 @@
 	s := x.owner.State()
 	m := message{
 		Name: x.name, Domain: x.domain, Boot: x.boot, Table: s.Table, Waiting: s.Dispatch.Waiting, Leaving: s.Leaving,
+		Down:  s.Dispatch.Down,
 		Holds: make(map[string][2]int, len(s.Dispatch.Holds)),
 	}
 	for id, h := range s.Dispatch.Holds {
@@ -158,7 +161,7 @@
 func (m message) state() State {
 	res := State{
 		Table:    m.Table,
-		Dispatch: dispatch.Report{Domain: m.Domain, Holds: make(map[string]dispatch.Hold, len(m.Holds)), Waiting: m.Waiting},
+		Dispatch: dispatch.Report{Domain: m.Domain, Holds: make(map[string]dispatch.Hold, len(m.Holds)), Waiting: m.Waiting, Down: m.Down},
 		Leaving:  m.Leaving,
 	}
 	for id, h := range m.Holds {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,8 +15,8 @@
 
 const (
 	// maxDials is the number of endpoints that may fail to take a connection
-	// before a request is given up.
-	maxDials = 3
+	// before a request is given up. One that has crashed refuses them at once.
+	maxDials = 6
 	// maxWhole is the size in bytes up to which an answer in one piece is received
 	// whole before any of it is passed on, so that one that breaks off can be
 	// asked for again.
@@ -59,7 +59,7 @@
 		if err != nil {
 			var failure *upstream.Error
 			if errors.As(err, &failure) && !failure.Sent && ctx.Err() == nil {
-				grant.Done(dispatch.Broken, 0)
+				grant.Done(dispatch.Unreachable, 0)
 				c.g.noteDown(c.endpoint)
 				dials++
 				if dials < maxDials {
