--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -109,14 +109,14 @@
 // prepare brings the agent to the higher of the two generations and checks that
 // the request belongs here.
 func (a *Agent) prepare(ctx context.Context, open frame.Open) *damasktrail.Refusal {
-	if open.Generation > a.documents.Generation() {
+	if open.Generation > a.documents.Number() {
 		a.await(ctx, open.Generation)
 	}
 	d := a.documents.Load()
 	if d == nil || d.Generation != open.Generation {
 		return &damasktrail.Refusal{
 			Reason: damasktrail.ReasonStale, Outcome: damasktrail.NotRun, RetryAfter: retryLeaving,
-			Detail: fmt.Sprintf("the request was decided under generation %d, %d is in force", open.Generation, a.documents.Generation()),
+			Detail: fmt.Sprintf("the request was decided under generation %d, %d is in force", open.Generation, a.documents.Number()),
 		}
 	}
 	s, found := d.Set(a.settings.Set)
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	a.post(func(*control, time.Time) {
-		from := a.documents.Generation()
+		from := a.documents.Number()
 		if from == 0 {
 			return // The first document is on the way, see seek.
 		}
@@ -144,7 +144,7 @@
 	})
 	for {
 		changed := a.documents.Changed()
-		if a.documents.Generation() >= generation {
+		if a.documents.Number() >= generation {
 			return
 		}
 		select {
--- a/document/difference.go
+++ b/document/difference.go
@@ -4,8 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"damasktrail.dev/internal/revision"
 	"damasktrail.dev/internal/strict"
 )
 
@@ -54,6 +53,12 @@
 	Operations []Operation `cbor:"operations,omitempty" json:"operations"`
 }
 
+// Span returns From and To.
+func (x Difference) Span() (from, to uint64) { return x.From, x.To }
+
+// Len returns the number of operations.
+func (x Difference) Len() int { return len(x.Operations) }
+
 // Compare returns the difference that leads from one document to the other.
 func Compare(from, to *Document) Difference {
 	res := Difference{From: from.Generation, To: to.Generation, Digest: to.Digest()}
@@ -88,7 +93,7 @@
 // [*DigestError]; the document is then to be fetched whole.
 func (d *Document) Apply(x Difference) (*Document, error) {
 	if x.From != d.Generation {
-		return nil, &FromError{From: x.From, Held: d.Generation}
+		return nil, &FromError{Noun: "document", Kind: kind, From: x.From, Held: d.Generation}
 	}
 	c, err := x.changes()
 	if err != nil {
@@ -116,7 +121,7 @@
 	}
 	res.build()
 	if res.index.digest != x.Digest {
-		return nil, &DigestError{Generation: x.To, Want: x.Digest, Got: res.index.digest}
+		return nil, &DigestError{Kind: kind, Number: x.To, Want: x.Digest, Got: res.index.digest}
 	}
 	p := &strict.Problems{}
 	res.validate(p)
@@ -205,50 +210,12 @@
 
 // EncodeDifference returns the CBOR encoding. It fails with a [*SizeError] when
 // that exceeds MaxSize; the whole document is then the shorter message.
-func EncodeDifference(x Difference) (res []byte, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("encode difference from %d to %d: %w", x.From, x.To, err)
-		}
-	}()
-	res, err = canonical.Marshal(x)
-	if err != nil {
-		return nil, err
-	}
-	if len(res) > MaxSize {
-		return nil, &SizeError{Size: len(res)}
-	}
-	return res, nil
+func EncodeDifference(x Difference) ([]byte, error) {
+	return revision.Encode(kind, canonical, MaxSize, x)
 }
 
-var decoding = newDecoding()
-
-func newDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		IndefLength:       cbor.IndefLengthForbidden,
-		MaxNestedLevels:   8,
-	}.DecMode()
-	if err != nil {
-		panic(err) // The options are constant.
-	}
-	return mode
-}
-
-// DecodeDifference reads what EncodeDifference wrote. Unknown fields and
-// trailing data are refused. The operations are checked by Apply.
-func DecodeDifference(data []byte) (res Difference, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("decode difference: %w", err)
-		}
-	}()
-	if len(data) > MaxSize {
-		return Difference{}, &SizeError{Size: len(data)}
-	}
-	if err := decoding.Unmarshal(data, &res); err != nil {
-		return Difference{}, err
-	}
-	return res, nil
+// DecodeDifference reads what EncodeDifference wrote. Unknown fields and trailing
+// data are refused. The operations are checked by Apply.
+func DecodeDifference(data []byte) (Difference, error) {
+	return revision.Decode[Difference](kind, MaxSize, data)
 }
--- a/document/difference_test.go
+++ b/document/difference_test.go
@@ -77,10 +77,10 @@
 		h := document.NewHolder()
 		accepted := map[uint64]*document.Document{}
 		for range rapid.IntRange(1, 12).Draw(t, "offers") {
-			before, held, changed := h.Generation(), h.Load(), h.Changed()
+			before, held, changed := h.Number(), h.Load(), h.Changed()
 			d := draw(t, rapid.Uint64Range(1, 9).Draw(t, "generation"))
 			ok, err := h.Offer(d)
-			require.GreaterOrEqual(t, h.Generation(), before)
+			require.GreaterOrEqual(t, h.Number(), before)
 			var older *document.OlderError
 			var conflict *document.ConflictError
 			switch {
--- a/document/document.go
+++ b/document/document.go
@@ -219,6 +219,9 @@
 	return d.Organisations[i], true
 }
 
+// Number returns the generation.
+func (d *Document) Number() uint64 { return d.Generation }
+
 // Digest identifies the content, whatever the order and spacing of its text.
 // It is a SHA-256 over the digests of all items.
 func (d *Document) Digest() [sha256.Size]byte { return d.index.digest }
--- a/member/difference.go
+++ b/member/difference.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"damasktrail.dev/internal/revision"
 	"damasktrail.dev/internal/strict"
 )
 
@@ -37,6 +38,12 @@
 	Operations []Operation `cbor:"operations,omitempty"`
 }
 
+// Span returns From and To.
+func (x Difference) Span() (from, to uint64) { return x.From, x.To }
+
+// Len returns the number of operations.
+func (x Difference) Len() int { return len(x.Operations) }
+
 // Compare returns the difference that leads from one list to the other.
 func Compare(from, to *List) Difference {
 	res := Difference{From: from.Version, To: to.Version, Digest: to.digest}
@@ -75,7 +82,7 @@
 // [*DigestError]; the list is then to be fetched whole.
 func (l *List) Apply(x Difference) (*List, error) {
 	if x.From != l.Version {
-		return nil, &FromError{From: x.From, Held: l.Version}
+		return nil, &FromError{Noun: "VM list", Kind: kind, From: x.From, Held: l.Version}
 	}
 	p := &strict.Problems{}
 	var top *strict.Location
@@ -125,7 +132,7 @@
 	res.tree = l.tree.with(removed, added)
 	res.digest = res.tree.root(res.Version)
 	if res.digest != x.Digest {
-		return nil, &DigestError{Version: x.To, Want: x.Digest, Got: res.digest}
+		return nil, &DigestError{Kind: kind, Number: x.To, Want: x.Digest, Got: res.digest}
 	}
 	return res, nil
 }
@@ -151,52 +158,25 @@
 	return ""
 }
 
-// EncodeDifference returns the CBOR encoding. It fails with a [*SizeError] when
-// that exceeds MaxSize; the whole list is then the shorter message.
-func EncodeDifference(x Difference) (res []byte, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("encode VM list difference from %d to %d: %w", x.From, x.To, err)
-		}
-	}()
-	res, err = cbor.Marshal(x)
-	if err != nil {
-		return nil, err
-	}
-	if len(res) > MaxSize {
-		return nil, &SizeError{Size: len(res)}
-	}
-	return res, nil
-}
+// encoding is that of differences.
+var encoding = newEncoding()
 
-var decoding = newDecoding()
-
-func newDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		IndefLength:       cbor.IndefLengthForbidden,
-		MaxNestedLevels:   8,
-	}.DecMode()
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncMode()
 	if err != nil {
 		panic(err) // The options are constant.
 	}
 	return mode
 }
 
-// DecodeDifference reads what EncodeDifference wrote. Unknown fields and
-// trailing data are refused. The operations are checked by Apply.
-func DecodeDifference(data []byte) (res Difference, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("decode VM list difference: %w", err)
-		}
-	}()
-	if len(data) > MaxSize {
-		return Difference{}, &SizeError{Size: len(data)}
-	}
-	if err := decoding.Unmarshal(data, &res); err != nil {
-		return Difference{}, err
-	}
-	return res, nil
+// EncodeDifference returns the CBOR encoding. It fails with a [*SizeError] when
+// that exceeds MaxSize; the whole list is then the shorter message.
+func EncodeDifference(x Difference) ([]byte, error) {
+	return revision.Encode(kind, encoding, MaxSize, x)
+}
+
+// DecodeDifference reads what EncodeDifference wrote. Unknown fields and trailing
+// data are refused. The operations are checked by Apply.
+func DecodeDifference(data []byte) (Difference, error) {
+	return revision.Decode[Difference](kind, MaxSize, data)
 }
--- a/member/difference_test.go
+++ b/member/difference_test.go
@@ -103,11 +103,11 @@
 		h := member.NewHolder()
 		accepted := map[uint64]*member.List{}
 		for range rapid.IntRange(1, 12).Draw(t, "offers") {
-			before := h.Version()
+			before := h.Number()
 			l := draw(t, rapid.Uint64Range(1, 9).Draw(t, "version"))
 			ok, err := h.Offer(l)
 			require.Equal(t, l.Version > before, ok)
-			require.Equal(t, max(l.Version, before), h.Version())
+			require.Equal(t, max(l.Version, before), h.Number())
 			if ok {
 				require.NoError(t, err)
 				accepted[l.Version] = l
--- a/member/list.go
+++ b/member/list.go
@@ -179,6 +179,9 @@
 	return res
 }
 
+// Number returns the version.
+func (l *List) Number() uint64 { return l.Version }
+
 // Digest identifies the content, whatever the order and spacing of its text.
 // It is a SHA-256 over the digests of all VMs.
 func (l *List) Digest() [sha256.Size]byte {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -10,6 +10,7 @@
 
 	"damasktrail.dev/document"
 	"damasktrail.dev/frame"
+	"damasktrail.dev/internal/revision"
 	"damasktrail.dev/member"
 )
 
@@ -192,15 +193,13 @@
 // ignoreOlder counts and drops the error for a value older than the one held:
 // a stale platform and a late peer are expected.
 func (r *Rollout) ignoreOlder(err error) error {
-	var olderDocument *document.OlderError
-	var olderList *member.OlderError
-	if errors.As(err, &olderDocument) || errors.As(err, &olderList) {
+	var older *revision.OlderError
+	if errors.As(err, &older) {
 		r.count("rollout_older", 1)
 		return nil
 	}
-	var conflict *document.ConflictError
-	var conflictList *member.ConflictError
-	if errors.As(err, &conflict) || errors.As(err, &conflictList) {
+	var conflict *revision.ConflictError
+	if errors.As(err, &conflict) {
 		r.count("rollout_conflicts", 1)
 	}
 	return err
--- a/rollout/value.go
+++ b/rollout/value.go
@@ -3,6 +3,7 @@
 import (
 	"damasktrail.dev/document"
 	"damasktrail.dev/frame"
+	"damasktrail.dev/internal/revision"
 	"damasktrail.dev/member"
 )
 
@@ -36,78 +37,70 @@
 	unfit
 )
 
+// codec reads and writes one kind of value and its differences.
+type codec[V published, X revision.Difference] struct {
+	parse  func(data []byte) (V, error)
+	apply  func(V, X) (V, error)
+	encode func(X) ([]byte, error)
+	decode func([]byte) (X, error)
+}
+
+// published is a value with an encoding.
+type published interface {
+	revision.Value
+	Encode() []byte
+}
+
 func documentValue(h *document.Holder) value {
-	return value{
-		version: h.Generation,
-		encode:  func() []byte { return h.Load().Encode() },
-		since: func(from uint64) *frame.Change {
-			list, _ := h.Since(from)
-			if len(list) == 0 {
-				return nil
-			}
-			return encodeAll(frame.Change{From: from, To: list[len(list)-1].To}, list, document.EncodeDifference)
-		},
-		apply: func(difference []byte) (result, error) {
-			x, err := document.DecodeDifference(difference)
-			held := h.Load()
-			switch {
-			case err != nil:
-				return unfit, err
-			case x.To <= h.Generation():
-				return known, nil
-			case held == nil || x.From != held.Generation:
-				return gap, nil
-			}
-			next, err := held.Apply(x)
-			if err != nil {
-				return unfit, nil //nolint:nilerr // The whole value repairs it.
-			}
-			return offered(h.Offer(next))
-		},
-		offer: func(data []byte) (bool, error) {
-			d, err := document.Parse(data)
-			if err != nil {
-				return false, err
-			}
-			return h.Offer(d)
-		},
-	}
+	return valueOf(h, codec[*document.Document, document.Difference]{
+		parse: document.Parse, apply: (*document.Document).Apply,
+		encode: document.EncodeDifference, decode: document.DecodeDifference,
+	})
 }
 
 func memberValue(h *member.Holder) value {
+	return valueOf(h, codec[*member.List, member.Difference]{
+		parse: member.Parse, apply: (*member.List).Apply,
+		encode: member.EncodeDifference, decode: member.DecodeDifference,
+	})
+}
+
+func valueOf[V published, X revision.Difference](h *revision.Holder[V, X], c codec[V, X]) value {
 	return value{
-		version: h.Version,
+		version: h.Number,
 		encode:  func() []byte { return h.Load().Encode() },
 		since: func(from uint64) *frame.Change {
 			list, _ := h.Since(from)
 			if len(list) == 0 {
 				return nil
 			}
-			return encodeAll(frame.Change{From: from, To: list[len(list)-1].To}, list, member.EncodeDifference)
+			_, to := list[len(list)-1].Span()
+			return encodeAll(frame.Change{From: from, To: to}, list, c.encode)
 		},
 		apply: func(difference []byte) (result, error) {
-			x, err := member.DecodeDifference(difference)
-			held := h.Load()
-			switch {
-			case err != nil:
+			x, err := c.decode(difference)
+			if err != nil {
 				return unfit, err
-			case x.To <= h.Version():
+			}
+			from, to := x.Span()
+			switch held := h.Number(); {
+			case to <= held:
 				return known, nil
-			case held == nil || x.From != held.Version:
+			case held == 0 || from != held:
 				return gap, nil
 			}
-			next, err := held.Apply(x)
+			next, err := c.apply(h.Load(), x)
 			if err != nil {
 				return unfit, nil //nolint:nilerr // The whole value repairs it.
 			}
 			return offered(h.Offer(next))
 		},
 		offer: func(data []byte) (bool, error) {
-			l, err := member.Parse(data)
+			v, err := c.parse(data)
 			if err != nil {
 				return false, err
 			}
-			return h.Offer(l)
+			return h.Offer(v)
 		},
 	}
 }
