Drop routine log lines first, and show latencies by kind of request

Cause: with a reader that stops, lines of served requests filled the room of the log, and the last lines of failed ones were dropped like any other; histograms told tiers apart but not kinds, and none had the time between events. Change: lines of attempts and served requests are dropped from 768 of 1,024 waiting lines on, before they are formatted, and counted apart; histograms have the route's kind, and there is one of the mean time between events.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -92,7 +92,10 @@
 
 func newSink(tasks *group.Group, m *telemetry.Metrics) (*telemetry.Sink, error) {
 	s := telemetry.NewSink(os.Stdout, tasks)
-	err := m.Gauge("log_dropped", "Log lines dropped because standard output was not read.", func() float64 { return float64(s.Dropped()) })
+	err := errors.Join(
+		m.Gauge("log_dropped", "Log lines dropped because standard output was not read.", func() float64 { return float64(s.Dropped()) }),
+		m.Gauge("log_dropped_routine", "The same, lines of attempts and of served requests.", func() float64 { return float64(s.DroppedRoutine()) }),
+	)
 	return s, err
 }
 
--- a/gateway/operations_test.go
+++ b/gateway/operations_test.go
@@ -16,7 +16,7 @@
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	patterns := []*regexp.Regexp{
-		regexp.MustCompile(`log\.(?:Info|Warn|Error|Debug)\("([^"]+)"`),
+		regexp.MustCompile(`log\.(?:Info|Warn|Error|Debug)(?:Context\(telemetry\.Routine, |\()"([^"]+)"`),
 		regexp.MustCompile(`\.(?:Count|Latency|Gauge)\("([^"]+)"`),
 	}
 	found := 0
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"damasktrail.dev"
 	"damasktrail.dev/dispatch"
+	"damasktrail.dev/telemetry"
 	"damasktrail.dev/upstream"
 )
 
@@ -89,7 +90,7 @@
 func (c *call) send(ctx context.Context, grant *dispatch.Grant, last string) (*upstream.Answer, error) {
 	g := c.g
 	c.endpoint = grant.Endpoint.ID
-	g.log.Info("request sent", "id", c.fields.ID, "endpoint", c.endpoint, "address", grant.Endpoint.Address, "send", c.sends+1, "wait", c.waited,
+	g.log.InfoContext(telemetry.Routine, "request sent", "id", c.fields.ID, "endpoint", c.endpoint, "address", grant.Endpoint.Address, "send", c.sends+1, "wait", c.waited,
 		"own", grant.Choice.Own, "peers", grant.Choice.Peers, "pace", grant.Choice.Pace, "free", grant.Choice.Free, "after", last)
 	header := g.dialect.Forward(c.request.Header, damasktrail.Dispatch{
 		Endpoint:     grant.Endpoint.ID,
@@ -252,10 +253,21 @@
 	if r != nil {
 		attrs = append(attrs, "reason", r.Reason, "detail", r.Detail, "retry", r.RetryAfter)
 	}
-	c.g.log.Info("request ended", attrs...)
-	c.g.metrics.Latency("wait", c.tier, c.waited)
+	if outcome != "answered" {
+		c.g.log.Info("request ended", attrs...)
+	} else {
+		c.g.log.InfoContext(telemetry.Routine, "request ended", attrs...)
+	}
+	if c.route.Name == "" {
+		return
+	}
+	class := telemetry.Class{Tier: c.tier, Kind: c.route.Kind.String()}
+	c.g.metrics.Latency("wait", class, c.waited)
 	if outcome == "answered" {
-		c.g.metrics.Latency("first", c.tier, c.firstByte)
-		c.g.metrics.Latency("whole", c.tier, whole)
+		c.g.metrics.Latency("first", class, c.firstByte)
+		c.g.metrics.Latency("whole", class, whole)
+		if c.events > 1 {
+			c.g.metrics.Latency("pace", class, (whole-c.firstByte)/time.Duration(c.events-1))
+		}
 	}
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -25,6 +25,19 @@
 	Streaming
 )
 
+// String returns the name of the kind in metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case NonIdempotent:
+		return "nonidempotent"
+	case Streaming:
+		return "streaming"
+	}
+	return fmt.Sprintf("Kind(%d)", int(k))
+}
+
 // Target is a service with its share of a route's requests.
 type Target struct {
 	// Service is a service's name.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -29,14 +29,22 @@
 
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
-	// latencies holds the histograms by name, tiers the attributes by rank.
+	// latencies holds the histograms by name, classes their attributes.
 	latencies map[string]metric.Float64Histogram
-	tiers     map[int]metric.MeasurementOption
+	classes   map[Class]metric.MeasurementOption
 	// options holds the attribute sets of refusals that were seen, so that
 	// counting one allocates nothing after the first.
 	options map[refusalKey]metric.MeasurementOption
 }
 
+// Class groups requests in histograms.
+type Class struct {
+	// Tier is the rank; 0 is the highest.
+	Tier int
+	// Kind says what the requests are, such as "streaming". There must be few.
+	Kind string
+}
+
 type refusalKey struct {
 	reason  damasktrail.Reason
 	outcome damasktrail.Outcome
@@ -71,7 +79,7 @@
 		retries:   retries,
 		counters:  map[string]metric.Int64Counter{},
 		latencies: map[string]metric.Float64Histogram{},
-		tiers:     map[int]metric.MeasurementOption{},
+		classes:   map[Class]metric.MeasurementOption{},
 		options:   map[refusalKey]metric.MeasurementOption{},
 	}, nil
 }
@@ -123,8 +131,8 @@
 // latencyBounds are the buckets of latency histograms, in seconds.
 var latencyBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16}
 
-// Latency adds a time to the histogram damasktrail_NAME_seconds of a tier.
-func (m *Metrics) Latency(name string, tier int, d time.Duration) {
+// Latency adds a time to the histogram damasktrail_NAME_seconds of a class.
+func (m *Metrics) Latency(name string, c Class, d time.Duration) {
 	m.mu.Lock()
 	h, found := m.latencies[name]
 	if !found {
@@ -136,10 +144,10 @@
 		}
 		m.latencies[name] = h
 	}
-	option, found := m.tiers[tier]
+	option, found := m.classes[c]
 	if !found {
-		option = metric.WithAttributeSet(attribute.NewSet(attribute.Int("tier", tier)))
-		m.tiers[tier] = option
+		option = metric.WithAttributeSet(attribute.NewSet(attribute.Int("tier", c.Tier), attribute.String("kind", c.Kind)))
+		m.classes[c] = option
 	}
 	m.mu.Unlock()
 	h.Record(context.Background(), d.Seconds(), option)
--- a/telemetry/sink.go
+++ b/telemetry/sink.go
@@ -8,14 +8,20 @@
 	"damasktrail.dev/group"
 )
 
-// sinkLines is the number of lines that wait for a slow reader.
-const sinkLines = 1024
+const (
+	// sinkLines is the number of lines that wait for a slow reader.
+	sinkLines = 1024
+	// crowdedLines is the number of waiting lines from which routine lines are
+	// dropped. What is left is for lines about failures and changes.
+	crowdedLines = sinkLines * 3 / 4
+)
 
 // Sink writes lines without ever blocking the writer. Lines beyond a bound are
-// dropped and counted. It is safe for use by several goroutines.
+// dropped and counted, routine ones first. It is safe for use by several
+// goroutines.
 type Sink struct {
-	lines   chan []byte
-	dropped atomic.Int64
+	lines            chan []byte
+	dropped, routine atomic.Int64
 }
 
 // NewSink returns a sink that writes to w as a task of the group. What waits when
@@ -59,5 +65,17 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines that were dropped.
+// DropRoutine reports whether a routine line is to be dropped, and counts it.
+func (s *Sink) DropRoutine() bool {
+	if len(s.lines) < crowdedLines {
+		return false
+	}
+	s.routine.Add(1)
+	return true
+}
+
+// DroppedRoutine returns the number of routine lines that were dropped.
+func (s *Sink) DroppedRoutine() int64 { return s.routine.Load() }
+
+// Dropped returns the number of other lines that were dropped.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
--- a/telemetry/sink_test.go
+++ b/telemetry/sink_test.go
@@ -30,6 +30,25 @@
 	tasks.Close()
 }
 
+// Guards against lines of failed requests that are lost because those of served
+// ones fill the room.
+func TestRoutineLinesGoFirst(t *testing.T) {
+	tasks := group.New(context.Background())
+	reader, writer := io.Pipe()
+	s := telemetry.NewSink(writer, tasks)
+	log := telemetry.Logger(s, "gateway", slog.LevelInfo).With("vm", "a")
+	for range 4000 {
+		log.InfoContext(telemetry.Routine, "request ended", "outcome", "answered")
+	}
+	for range 200 {
+		log.Info("request ended", "outcome", "refused")
+	}
+	require.Zero(t, s.Dropped())
+	require.Greater(t, s.DroppedRoutine(), int64(3000))
+	require.NoError(t, reader.Close())
+	tasks.Close()
+}
+
 // lockedBuffer is a buffer for one writer and one reader.
 type lockedBuffer struct {
 	mu sync.Mutex
