Report at once what is taken or given back, the rest within 40 ms

Cause: all changes were reported alike, so the rate went to first bytes and queues while a place that was taken or free again was told up to 90 ms later. Change: urgent changes go out at once as far as 400 datagrams a second allow, with a burst of 100; while that is short, peers in other failure domains hear each 90 ms.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -132,8 +132,9 @@
 	clock damasktrail.Clock
 	// name is that of this entry, domain its failure domain.
 	name, domain string
-	// changed is called without a lock after what Report returns has changed.
-	changed func()
+	// changed is called without a lock after what Report returns has changed. It is
+	// urgent when a place was taken or given back.
+	changed func(urgent bool)
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -145,7 +146,7 @@
 
 // New returns a scheduler without endpoints for an entry in a failure domain. The
 // name must be the one that peers use in [Scheduler.SetPeer].
-func New(clock damasktrail.Clock, name, domain string, changed func()) *Scheduler {
+func New(clock damasktrail.Clock, name, domain string, changed func(urgent bool)) *Scheduler {
 	return &Scheduler{
 		clock: clock, name: name, domain: domain, changed: changed,
 		services: map[string]*service{}, peers: map[string]Report{}, others: map[string]Hold{},
@@ -282,19 +283,19 @@
 	select {
 	case g := <-w.granted:
 		if g != nil {
-			s.changed()
+			s.changed(true)
 			return g, nil
 		}
 	default:
 	}
-	s.changed()
+	s.changed(false)
 	expired := make(chan struct{})
 	cancel := s.clock.Schedule(limit, func(time.Time) { close(expired) })
 	defer cancel()
 	select {
 	case g := <-w.granted:
 		if g != nil {
-			s.changed()
+			s.changed(true)
 			return g, nil
 		}
 	case <-expired:
@@ -335,7 +336,7 @@
 	_, waited := v.waiting.Remove(id)
 	wait, _ := s.wait(v, w.request)
 	s.mu.Unlock()
-	s.changed()
+	s.changed(!waited)
 	if !waited {
 		select {
 		case g := <-w.granted:
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -57,7 +57,7 @@
 	g.scheduler.mu.Lock()
 	g.started = true
 	g.scheduler.mu.Unlock()
-	g.scheduler.changed()
+	g.scheduler.changed(false)
 }
 
 // Done gives the place back. pace is the mean time between events of the answer,
@@ -76,7 +76,7 @@
 	}
 	s.place(g.service)
 	s.mu.Unlock()
-	s.changed()
+	s.changed(true)
 }
 
 // learn updates what is known of the endpoint.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damasktrail.dev"
@@ -29,17 +30,18 @@
 const (
 	// interval is the longest time between two reports to a peer.
 	interval = 200 * time.Millisecond
-	// spacing is the shortest time between two reports, and perSecond bounds the
-	// datagrams of an entry, so that their cost does not grow with the square of
-	// the fleet.
+	// spacing is the shortest time between two reports. What is taken or given back
+	// is reported then; other changes are reported after quietTime with it.
 	spacing   = 4 * time.Millisecond
+	quietTime = 40 * time.Millisecond
+	// perSecond bounds the datagrams of an entry, so that their cost does not grow
+	// with the square of the fleet, and burst those that it may send at once after a
+	// pause.
 	perSecond = 400
-	// peersPerShare is the number of peers for which reports to other failure
-	// domains become rarer by one share, down to one in maxFar. What an entry does
-	// not know of peers makes it send to places that are taken, and entries mostly
-	// use the endpoints of their own domain.
-	peersPerShare = 6
-	maxFar        = 4
+	burst     = 100
+	// farTime is the time between two reports to peers in other failure domains when
+	// the rate does not allow all: entries mostly use endpoints of their own domain.
+	farTime = 90 * time.Millisecond
 	// life is how long a peer's report counts without a newer one.
 	life = 900 * time.Millisecond
 	// forget is how long the address of a silent peer is kept.
@@ -138,6 +140,8 @@
 	conn   *net.UDPConn
 	// dirty holds an element when a report is due.
 	dirty chan struct{}
+	// touched says that a change waits for the next report.
+	touched atomic.Bool
 
 	mu     sync.Mutex
 	number uint64
@@ -148,8 +152,8 @@
 	peers map[netip.AddrPort]*peer
 }
 
-// New binds address for an entry in a failure domain. Seeds are addresses of peers; its own is left out. Boot
-// must differ between two starts of the process.
+// New binds address for an entry in a failure domain. Seeds are addresses of
+// peers; its own is left out. Boot must differ between two starts of the process.
 func New(name, domain, address string, seeds []string, boot uint64, owner Owner, clock damasktrail.Clock, uptime func() time.Duration, log *slog.Logger) (res *Exchange, err error) {
 	defer func() {
 		if err != nil {
@@ -184,21 +188,35 @@
 	tasks.Go(x.receive)
 	tasks.Go(x.send)
 	cancel := x.clock.Subscribe(interval/2, x.tick)
+	cancelTouched := x.clock.Subscribe(quietTime, func(time.Time) { x.flush() })
 	tasks.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		cancel()
+		cancelTouched()
 		_ = x.conn.Close()
 	})
 }
 
-// Changed says that the state has changed. It does not block.
-func (x *Exchange) Changed() {
+// Changed says that the state has changed. An urgent change is reported at once,
+// as far as the rate allows. It does not block.
+func (x *Exchange) Changed(urgent bool) {
+	if !urgent {
+		x.touched.Store(true)
+		return
+	}
 	select {
 	case x.dirty <- struct{}{}:
 	default:
 	}
 }
 
+// flush has changes reported that are not urgent.
+func (x *Exchange) flush() {
+	if x.touched.Load() {
+		x.Changed(true)
+	}
+}
+
 // add notes a peer's address.
 func (x *Exchange) add(a netip.AddrPort) {
 	if _, found := x.peers[a]; found || a == x.address || len(x.peers) >= maxPeers {
@@ -219,85 +237,77 @@
 	}
 }
 
-// send reports to all peers after a change.
+// send reports to peers after a change, as often as the rate allows.
 func (x *Exchange) send(ctx context.Context) {
+	credit, last := float64(burst), x.clock.Now()
 	for {
 		select {
 		case <-x.dirty:
 		case <-ctx.Done():
 			return
 		}
-		x.report(x.clock.Now(), 0)
-		near, _ := x.pause()
-		if x.clock.Sleep(ctx, near) != nil {
+		now := x.clock.Now()
+		credit = min(burst, credit+now.Sub(last).Seconds()*perSecond)
+		last = now
+		credit -= float64(x.report(now, pauses{far: farPause(credit)}))
+		pause := max(spacing, time.Duration(-credit/perSecond*float64(time.Second)))
+		if x.clock.Sleep(ctx, pause) != nil {
 			return
 		}
 	}
 }
 
-// pause returns the time to wait between two reports to a peer, by whether it is
-// in the same failure domain.
-func (x *Exchange) pause() (near, far time.Duration) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.paces()
-}
+// pauses are the times since the last report after which a peer gets one, by
+// whether it is in the same failure domain.
+type pauses struct{ near, far time.Duration }
 
-// paces is pause, called with mu held.
-func (x *Exchange) paces() (near, far time.Duration) {
-	nearby, others := 0, 0
-	for p := range maps.Values(x.peers) {
-		switch {
-		case p.silent:
-		case p.domain == x.domain:
-			nearby++
-		default:
-			others++
-		}
+// farPause returns how long peers in other failure domains wait for a report while
+// the given number of datagrams may be sent at once.
+func farPause(credit float64) time.Duration {
+	if credit > burst/2 {
+		return 0
 	}
-	share := min(max(1, (nearby+others)/peersPerShare), maxFar)
-	reports := time.Duration(nearby) + time.Duration(others)/time.Duration(share)
-	near = max(spacing, reports*time.Second/perSecond)
-	return near, near * time.Duration(share)
+	return farTime
 }
 
-// report sends the state to the peers that got none for the given time.
-func (x *Exchange) report(now time.Time, quiet time.Duration) {
-	to := x.due(now, quiet)
+// report sends the state to the peers that got none for long enough, and returns
+// their number.
+func (x *Exchange) report(now time.Time, after pauses) int {
+	to := x.due(now, after)
 	if len(to) == 0 {
-		return
+		return 0
 	}
+	x.touched.Store(false)
 	body, err := x.encode(now)
 	if err != nil {
 		x.log.Error("report cannot be encoded", "error", err)
-		return
+		return 0
 	}
 	for _, a := range to {
 		tail, err := x.proof(a)
 		if err != nil {
 			x.log.Error("report cannot be encoded", "error", err)
-			return
+			return 0
 		}
 		if _, err := x.conn.WriteToUDPAddrPort(slices.Concat(body, tail), a); err != nil && !errors.Is(err, net.ErrClosed) {
 			x.log.Debug("report not sent", "peer", a.String(), "error", err)
 		}
 	}
+	return len(to)
 }
 
 // due returns the peers to report to and notes that they are reported to.
-func (x *Exchange) due(now time.Time, quiet time.Duration) []netip.AddrPort {
+func (x *Exchange) due(now time.Time, after pauses) []netip.AddrPort {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	near, far := x.paces()
 	var res []netip.AddrPort
 	for a, p := range x.peers {
-		wait := quiet
+		wait := after.far
 		switch {
 		case p.silent:
 			wait = retrySilent
-		case p.domain != x.domain:
-			// Half a pause less, so that a timer that fires early skips no turn.
-			wait = max(quiet, far-near/2)
+		case p.domain == x.domain:
+			wait = after.near
 		}
 		if now.Sub(p.sent) >= wait {
 			p.sent = now
@@ -385,7 +395,7 @@
 	if len(silent) > 0 {
 		x.owner.PeersChanged()
 	}
-	x.report(now, interval)
+	x.report(now, pauses{near: interval, far: interval})
 }
 
 // Available reports whether a peer is live that is not shutting down.
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -105,7 +105,7 @@
 func (x *Exchange) encode(now time.Time) ([]byte, error) {
 	s := x.owner.State()
 	m := message{
-		Name: x.name, Domain: x.domain, Boot: x.boot, Table: s.Table, Waiting: s.Dispatch.Waiting, Leaving: s.Leaving,
+		Name: x.name, Domain: s.Dispatch.Domain, Boot: x.boot, Table: s.Table, Waiting: s.Dispatch.Waiting, Leaving: s.Leaving,
 		Down:  s.Dispatch.Down,
 		Holds: make(map[string][2]int, len(s.Dispatch.Holds)),
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -71,6 +71,6 @@
 	g.mu.Unlock()
 	if len(fingerprints) > 0 {
 		g.log.Warn("endpoint crashed", "endpoint", endpoint, "suspects", len(fingerprints))
-		g.exchange.Changed()
+		g.exchange.Changed(true)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,7 @@
 	}
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
 	g.catalog = catalog.New(directory, clock, uptime, g.rank, log, g.adopt)
-	g.scheduler = dispatch.New(clock, s.Name, s.Domain, func() { g.exchange.Changed() })
+	g.scheduler = dispatch.New(clock, s.Name, s.Domain, func(urgent bool) { g.exchange.Changed(urgent) })
 	g.exchange, err = exchange.New(s.Name, s.Domain, s.Peers, s.Seeds, boot, owner{g}, clock, uptime, log)
 	if err != nil {
 		return nil, err
@@ -176,7 +176,7 @@
 	}
 	g.scheduler.SetEndpoints(s.Endpoints)
 	g.pool.Retain(s.Endpoints)
-	g.exchange.Changed()
+	g.exchange.Changed(true)
 }
 
 // logQuotas writes a line for each quota that changes.
@@ -230,7 +230,7 @@
 func (g *Gateway) Drain(ctx context.Context) {
 	start := g.clock.Now()
 	g.draining.Store(&start)
-	g.exchange.Changed()
+	g.exchange.Changed(true)
 	g.log.Info("shutting down", "open", g.open.Load(), "grace", g.settings.Grace)
 	end := start.Add(g.settings.Grace - exitMargin)
 	for now := start; now.Before(end) && ctx.Err() == nil; now = g.clock.Now() {
