Let entries take turns at each free place

Cause: gateways that see a place become free take it at the same moment, before any of them has heard of the others: half of the requests that one did not know of were sent less than 10 ms before its own, on Gent within 1 ms. Change: an entry takes a place when its turn has come, in the order of a draw that all make alike, weighted by queues and nearness; a turn lasts 0.6 ms for each peer. It replaces the draw that held only while more was known to wait than free. Requests of higher tiers at peers still go first.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -118,6 +118,8 @@
 	health    *health.Group
 	// hold is the mean time that a request holds a place, in seconds.
 	hold float64
+	// waking says that a call of place is scheduled.
+	waking bool
 }
 
 // waiter is a request that waits.
@@ -402,11 +404,15 @@
 	for _, it := range v.waiting.Expire(now) {
 		close(it.Value.granted)
 	}
-	if v.waiting.Len() == 0 {
-		return
+	for _, e := range v.endpoints {
+		e.noteFree(s.free(v, e, now), now)
 	}
-	places, left := s.allot(v, now)
-	for ; left > 0; left-- {
+	for v.waiting.Len() > 0 {
+		places, next := s.allot(v, now)
+		if len(places) == 0 {
+			s.wake(v, next)
+			return
+		}
 		it, ok := v.waiting.Pop(now)
 		if !ok {
 			return
@@ -419,13 +425,26 @@
 			Pace: time.Duration(e.pace * float64(time.Second)), Free: len(places),
 		}
 		e.grants[g] = struct{}{}
-		if places[e]--; places[e] == 0 {
-			delete(places, e)
-		}
+		e.noteFree(s.free(v, e, now), now)
 		w.granted <- g
 	}
 }
 
+// wake places what waits again after a time, unless that is zero or an earlier
+// call is pending. It is called with mu held.
+func (s *Scheduler) wake(v *service, after time.Duration) {
+	if after == 0 || v.waking {
+		return
+	}
+	v.waking = true
+	s.clock.Schedule(after, func(time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		v.waking = false
+		s.place(v)
+	})
+}
+
 // free returns the number of places that an endpoint has for this entry now.
 func (s *Scheduler) free(v *service, e *endpoint, now time.Time) int {
 	if e.State != fleet.Ready || now.Before(e.paused) || v.health.Ejected(e.ID, now) || e.stuck(now) {
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -22,7 +22,9 @@
 	failures int
 	// down says that the last connection could not be made.
 	down bool
-	// freeSince is the time since which it has a free place, zero when it has none.
+	// places is the number of its free places, and freeSince the time since which it
+	// has one, zero when it has none.
+	places    int
 	freeSince time.Time
 }
 
@@ -35,6 +37,7 @@
 
 // noteFree notes the number of free places.
 func (e *endpoint) noteFree(places int, now time.Time) {
+	e.places = places
 	switch {
 	case places == 0:
 		e.freeSince = time.Time{}
@@ -43,9 +46,6 @@
 	}
 }
 
-// turn counts the entries whose turn at a free place is over.
-func (e *endpoint) turn(now time.Time) int { return int(now.Sub(e.freeSince) / turnTime) }
-
 // held returns what the endpoint holds for this entry.
 func (e *endpoint) held() Hold {
 	res := Hold{Requests: len(e.grants)}
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -1,118 +1,113 @@
 package dispatch
 
 import (
-	"cmp"
 	"hash/fnv"
 	"io"
 	"math"
-	"slices"
 	"time"
 
 	"damasktrail.dev/fleet"
 )
 
-// turnTime is how long a free place is left to the entry whose turn it is. It
-// covers the age of reports in a fleet of some twenty entries; an entry that
-// cannot use the place loses its turn then.
-const turnTime = 100 * time.Millisecond
+const (
+	// turnPerPeer is, times the number of peers, how long a free place is left to
+	// each entry whose turn comes before this one's. It covers the way of a report
+	// that says the place is taken: reports are rarer among many peers.
+	turnPerPeer = 600 * time.Microsecond
+	// nearShare is how much more often the first turn at a place is that of an entry
+	// in its failure domain than that of another.
+	nearShare = 4
+)
 
-// claim is the number of requests of one tier that wait at one entry.
-type claim struct {
-	tier          int
+// claimant is an entry that may want a place.
+type claimant struct {
 	entry, domain string
-	waiting       int
+	// waiting is the number of its requests that wait in the tier that is served.
+	waiting int
 }
 
-// nearShare is how much more often a place goes to an entry in its own failure
-// domain than to another with as many waiting requests.
-const nearShare = 4
-
-// claims returns what waits for a service, the highest tier first.
-func (s *Scheduler) claims(v *service) (res []claim, sum int) {
-	add := func(c claim) {
-		if c.waiting > 0 {
-			res = append(res, c)
-			sum += c.waiting
+// claimants returns all entries, this one first, with what they have waiting in a
+// tier, and the number of requests of higher tiers that wait at peers.
+func (s *Scheduler) claimants(v *service, tier int) (res []claimant, better int) {
+	res = make([]claimant, 1, 1+len(s.peers))
+	res[0] = claimant{entry: s.name, domain: s.domain}
+	v.waiting.Waiting(func(rank, waiting int) {
+		if rank == tier {
+			res[0].waiting = waiting
 		}
-	}
-	v.waiting.Waiting(func(tier, waiting int) {
-		add(claim{tier: tier, entry: s.name, domain: s.domain, waiting: waiting})
 	})
 	for name, r := range s.peers {
-		for tier, waiting := range r.Waiting[v.name] {
-			add(claim{tier: tier, entry: name, domain: r.Domain, waiting: waiting})
+		waiting := r.Waiting[v.name]
+		for rank, n := range waiting {
+			if rank < tier {
+				better += n
+			}
 		}
+		res = append(res, claimant{entry: name, domain: r.Domain, waiting: waiting[tier]})
 	}
-	slices.SortFunc(res, func(a, b claim) int { return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.entry, b.entry)) })
-	return res, sum
+	return res, better
 }
 
-// allot returns the free places that this entry may take, by endpoint. It
-// answers a fleet in which requests wait everywhere: a place that becomes free is
-// seen by all entries at once, and without an order each would send a request
-// there. While more requests wait than places are free, each place belongs to one
-// entry, the highest tier first and, within it, by the lengths of the queues.
-// Entries that have the same reports agree on it.
-func (s *Scheduler) allot(v *service, now time.Time) (places map[*endpoint]int, sum int) {
-	var open []*endpoint
+// allot returns the free places that this entry may take now, by endpoint, and
+// the time until it may take another, zero when none is free. It answers a fleet
+// in which requests wait everywhere: a place that becomes free is seen by all
+// entries at once, and without an order each would send a request there. Entries
+// take turns at each free place: those with requests of higher tiers first, then
+// by a draw weighted by the lengths of the queues, which all entries make alike.
+// Each has the place to itself for a while.
+func (s *Scheduler) allot(v *service, now time.Time) (places map[*endpoint]int, next time.Duration) {
+	claimants, better := s.claimants(v, v.waiting.Highest())
 	places = map[*endpoint]int{}
+	each := time.Duration(len(s.peers)) * turnPerPeer
+	free := 0
 	for _, e := range v.endpoints {
-		n := s.free(v, e, now)
-		e.noteFree(n, now)
-		if n > 0 {
-			open = append(open, e)
-			places[e] = n
-			sum += n
-		}
+		free += e.places
 	}
-	claims, waiting := s.claims(v)
-	if waiting <= sum {
-		return places, sum
+	if free <= better {
+		return places, 0
 	}
-	slices.SortFunc(open, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
-	free := places
-	places, sum = map[*endpoint]int{}, 0
-	for _, e := range open {
-		for range free[e] {
-			i := winner(claims, e.Endpoint, e.turn(now))
-			claims[i].waiting--
-			if claims[i].entry == s.name {
-				places[e]++
-				sum++
-			}
-			if claims[i].waiting == 0 {
-				claims = slices.Delete(claims, i, i+1)
-			}
+	for _, e := range v.endpoints {
+		if e.places == 0 {
+			continue
+		}
+		wait := time.Duration(turn(claimants, e.Endpoint)/e.places)*each - now.Sub(e.freeSince)
+		switch {
+		case wait <= 0:
+			places[e] = e.places
+		case next == 0 || wait < next:
+			next = wait
 		}
 	}
-	return places, sum
+	return places, next
 }
 
-// winner returns the index of the claim of the highest tier that gets a place at
-// an endpoint: a draw weighted by what waits, the same at every entry. There must
-// be a claim.
-func winner(claims []claim, e fleet.Endpoint, turn int) int {
-	best, score := 0, math.Inf(1)
-	for i, c := range claims {
-		if c.tier != claims[0].tier {
-			break
-		}
-		weight := float64(c.waiting)
-		if c.domain == e.Domain {
-			weight *= nearShare
-		}
-		if x := -math.Log(draw(c.entry, e.ID, turn)) / weight; x < score {
-			best, score = i, x
+// turn returns how many turns at a place of an endpoint come before that of the
+// first claimant.
+func turn(claimants []claimant, e fleet.Endpoint) int {
+	own := claimants[0].score(e)
+	res := 0
+	for _, c := range claimants[1:] {
+		if c.score(e) < own {
+			res++
 		}
 	}
-	return best
+	return res
+}
+
+// score orders the claimants; the lowest is the first.
+func (c claimant) score(e fleet.Endpoint) float64 {
+	weight := float64(1 + c.waiting)
+	if c.domain == e.Domain {
+		weight *= nearShare
+	}
+	return -math.Log(draw(c.entry, e.ID)) / weight
 }
 
 // draw returns a number above 0 and up to 1 that depends on its arguments only.
-func draw(entry, endpoint string, turn int) float64 {
+func draw(entry, endpoint string) float64 {
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, entry)
-	_, _ = h.Write([]byte{0, byte(turn)})
+	_, _ = h.Write([]byte{0})
 	_, _ = io.WriteString(h, endpoint)
 	// FNV leaves the high bits of short texts alike; the multiplication spreads them.
 	const spread = 0x9e3779b97f4a7c15
