--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -277,3 +277,51 @@
 		tasks.Close()
 	})
 }
+
+// Guards against entries that all take the same place when it becomes free: on
+// played days several sent a request to an engine within a millisecond. An entry
+// that does not use its turn must not keep the others from the place.
+func TestTurns(t *testing.T) {
+	const entries = 5
+	synctest.Test(t, func(t *testing.T) {
+		tasks := group.New(context.Background())
+		clock := timer.New(tasks)
+		name := func(i int) string { return fmt.Sprint("entry", i) }
+		schedulers := make([]*dispatch.Scheduler, entries)
+		for i := range schedulers {
+			schedulers[i] = dispatch.New(clock, name(i), "here", func(bool) {})
+			schedulers[i].SetEndpoints(endpoints(1, 1))
+		}
+		share := func(from int) {
+			report := schedulers[from].Report()
+			for i, to := range schedulers {
+				if i != from {
+					to.SetPeer(name(from), report)
+				}
+			}
+		}
+		held := acquire(t, schedulers[0], request(0))
+		share(0)
+		granted := make(chan int, entries)
+		for i, s := range schedulers {
+			tasks.Go(func(ctx context.Context) {
+				r := request(0)
+				r.Objective = 10 * time.Second
+				if _, refusal := s.Acquire(ctx, r); refusal == nil {
+					granted <- i
+				}
+			})
+		}
+		time.Sleep(time.Millisecond)
+		for i := range schedulers {
+			share(i)
+		}
+		held.Done(dispatch.Answered, 0)
+		share(0)
+		time.Sleep(time.Millisecond)
+		require.Len(t, granted, 1, "the first turn")
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, granted, entries, "every entry gets its turn while it hears nothing")
+		tasks.Close()
+	})
+}
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -51,10 +51,10 @@
 // allot returns the free places that this entry may take now, by endpoint, and
 // the time until it may take another, zero when none is free. It answers a fleet
 // in which requests wait everywhere: a place that becomes free is seen by all
-// entries at once, and without an order each would send a request there. Entries
-// take turns at each free place: those with requests of higher tiers first, then
-// by a draw weighted by the lengths of the queues, which all entries make alike.
-// Each has the place to itself for a while.
+// entries at once, and without an order each would send a request there. As many
+// places as requests of higher tiers wait at peers are left to these. For the
+// others entries take turns, in the order of a draw weighted by the lengths of the
+// queues, which all entries make alike; each has the place to itself for a while.
 func (s *Scheduler) allot(v *service, now time.Time) (places map[*endpoint]int, next time.Duration) {
 	claimants, better := s.claimants(v, v.waiting.Highest())
 	places = map[*endpoint]int{}
--- a/member/errors.go
+++ b/member/errors.go
@@ -38,11 +38,16 @@
 	return fmt.Sprintf("operations[%d]: VM %q: %s", e.Index, e.Name, e.Message)
 }
 
-// The errors of a [Holder] and of differences.
 type (
-	OlderError    = revision.OlderError
+	// OlderError says that an offered list is older than the one in force.
+	OlderError = revision.OlderError
+	// ConflictError says that an offered list has the number of the one in force and
+	// other content.
 	ConflictError = revision.ConflictError
-	FromError     = revision.FromError
-	DigestError   = revision.DigestError
-	SizeError     = revision.SizeError
+	// FromError says that a difference starts from another list.
+	FromError = revision.FromError
+	// DigestError says that a difference led to other content than it announced.
+	DigestError = revision.DigestError
+	// SizeError says that an encoding exceeds MaxSize.
+	SizeError = revision.SizeError
 )
