Start test gateways again when another process takes their port

The harness asks the kernel for a free port, closes it and starts the gateway there; another process took it in between. Ruled out: a fault of the gateway; the test failed before its first request. Change: the harness tries other ports, for that error alone, five times at most.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -241,16 +243,15 @@
 			ID: fmt.Sprint("e", i), Service: "s", Address: strings.TrimPrefix(p.URL, "http://"), Domain: "d", Slots: 4,
 		})
 	}
-	s.settings = gateway.Settings{
-		Name: "entry", Domain: "d", Callers: free(t), Ready: free(t), Peers: free(t), Directory: "127.0.0.1:1",
-		Grace: 4 * time.Second, Revocation: 3 * time.Second, Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56},
+	tasks, err := s.open()
+	for range 5 {
+		// Another process may take a free port before the gateway does.
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+		tasks, err = s.open()
 	}
-	tasks := group.New(context.Background())
-	m, err := telemetry.New("gateway")
-	require.NoError(t, err)
-	s.gateway, err = gateway.New(s.settings, s.directory, platform.Dialect{}, timer.New(tasks), timer.Uptime, 1, tasks, m, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
-	require.NoError(t, s.gateway.Start(func(err error) { t.Error(err) }))
 	t.Cleanup(func() {
 		require.NoError(t, s.gateway.Close())
 		tasks.Close()
@@ -259,6 +260,28 @@
 	return s
 }
 
+// open starts the gateway on free ports.
+func (s *site) open() (tasks *group.Group, err error) {
+	s.settings = gateway.Settings{
+		Name: "entry", Domain: "d", Callers: free(s.t), Ready: free(s.t), Peers: free(s.t), Directory: "127.0.0.1:1",
+		Grace: 4 * time.Second, Revocation: 3 * time.Second, Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56},
+	}
+	tasks = group.New(context.Background())
+	m, err := telemetry.New("gateway")
+	require.NoError(s.t, err)
+	s.gateway, err = gateway.New(s.settings, s.directory, platform.Dialect{}, timer.New(tasks), timer.Uptime, 1, tasks, m, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err == nil {
+		err = s.gateway.Start(func(err error) { s.t.Error(err) })
+	}
+	if err != nil {
+		if s.gateway != nil {
+			_ = s.gateway.Close()
+		}
+		tasks.Close()
+	}
+	return tasks, err
+}
+
 // ready asks as the balancer does.
 func (s *site) ready() bool {
 	r, err := http.Get("http://" + s.settings.Ready + "/readyz")
