--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -21,7 +21,7 @@
 	Failed
 	// Broken is a connection that broke, or an answer by another endpoint.
 	Broken
-	// Unreachable is a connection that could not be made. Peers are told.
+	// Unreachable is a connection that could not be made. Peers hear of it.
 	Unreachable
 )
 
@@ -31,7 +31,7 @@
 	Own, Peers int
 	// Pace is the mean time between the events of its streams, zero when unknown.
 	Pace time.Duration
-	// Free is the number of endpoints that had a free place.
+	// Free is the number of endpoints with a place that this entry might take.
 	Free int
 }
 
