--- a/policy/cost.go
+++ b/policy/cost.go
@@ -128,11 +128,14 @@
 	if c.Load.Limit > 0 {
 		inside = min(inside, c.Load.Limit)
 	}
-	// Prefill of others in between makes them slower than that speed.
-	answering := float64(r.Cost.Decode) * max(float64(inside)/decode, float64(c.Load.Token)/microsecond)
+	answering := float64(r.Cost.Decode) * float64(inside) / decode
 	res := ahead + own + answering
 	if r.Deadline > 0 {
-		res += late * max(0, own+longer*answering-r.Deadline.Seconds())
+		// Prefill of others in between makes an answer slower than that speed. This
+		// counts against the deadline only: it varies with the load of the moment,
+		// and in the comparison of agents it would outweigh their caches.
+		streaming := max(answering, float64(r.Cost.Decode)*float64(c.Load.Token)/microsecond)
+		res += late * max(0, own+longer*streaming-r.Deadline.Seconds())
 	}
 	return res
 }
