--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -36,7 +36,11 @@
 	firstConfirmAge = 700 * time.Millisecond
 	confirmAgeStep  = 150 * time.Millisecond
 	// maxConfirmAge is the highest age at which an entry of any rank asks.
-	maxConfirmAge = 1600 * time.Millisecond
+	maxConfirmAge = 2400 * time.Millisecond
+	// ranksPerBackoff is the number of ranks after which an entry pauses for one
+	// maxBackoff more between two failed confirmations, so that a fleet of any size
+	// asks a directory that is down about thirty times a second.
+	ranksPerBackoff = 4
 	// confirmCheckInterval is the time between two checks of the age.
 	confirmCheckInterval = 50 * time.Millisecond
 	// minBackoff is the delay after the first failure. The delay doubles with each
@@ -47,6 +51,18 @@
 	// directory stays in the list. Live endpoints register again about two seconds
 	// after the directory has recovered.
 	missingGrace = 2300 * time.Millisecond
+	// idleCheckInterval is the time between checks whether this entry must follow the
+	// directory itself.
+	idleCheckInterval = 50 * time.Millisecond
+	// idleRetryDelay is the pause between two reads after a failure while this entry
+	// need not follow the directory.
+	idleRetryDelay = time.Second
+	// maxBehind is how long the list of endpoints may be older than that of a peer
+	// before a watch is taken for deaf.
+	maxBehind = 400 * time.Millisecond
+	// confirmSlack is the time by which a confirmation that began before a failure may
+	// arrive after it.
+	confirmSlack = 300 * time.Millisecond
 	// fullReadInterval is the maximum age of the last full read of a value. The
 	// next full read repairs a change that a watch missed without an error.
 	fullReadInterval = 30 * time.Second
@@ -77,13 +93,24 @@
 	// confirmedAt is the uptime, in nanoseconds, at the start of the latest call
 	// that confirmed the table; zero before the first.
 	confirmedAt atomic.Int64
-	// rank returns the rank of this entry among the live entries of the fleet.
-	rank func() int
-	// rereadTable holds an element while a full read of the table is requested.
-	rereadTable chan struct{}
+	fleet       Fleet
+	// rereadTable and rereadEndpoints hold an element while a full read of the table
+	// or of the endpoints is requested.
+	rereadTable, rereadEndpoints chan struct{}
 	// watchedRevision is the revision from which the table is being watched; zero
 	// while no watch runs.
 	watchedRevision atomic.Uint64
+	// endpointsRevision is the revision up to which the list of endpoints is known,
+	// endpointsChanged that of its last change.
+	endpointsRevision, endpointsChanged atomic.Uint64
+	// endpointsFailedAt is the uptime, in nanoseconds, at which the directory stopped
+	// to answer reads of the endpoints; zero while it answers.
+	endpointsFailedAt atomic.Int64
+	// newestEndpoints is the highest revision of a change of the endpoints that a peer
+	// has, behindSince the time since which it is higher than endpointsRevision.
+	newestEndpoints uint64
+	behindSince     time.Time
+	hintMu          sync.Mutex
 
 	// mu serialises updates of current and guards the fields below.
 	mu sync.Mutex
@@ -92,18 +119,29 @@
 	missing map[string]time.Time
 }
 
+// Fleet tells a catalog what part this entry has in its fleet. Its methods must not
+// block.
+type Fleet interface {
+	// Rank returns the rank of this entry among the live entries.
+	Rank() int
+	// Follows reports whether this entry must follow the directory itself. If not,
+	// peers tell it of newer tables and it needs no list of endpoints.
+	Follows() bool
+}
+
 // New returns a catalog that is empty until Start. onChange is called with each
 // new snapshot, before the next one is published.
-func New(directory damasktrail.Directory, clock damasktrail.Clock, uptime func() time.Duration, rank func() int, log *slog.Logger, onChange func(Snapshot)) *Catalog {
+func New(directory damasktrail.Directory, clock damasktrail.Clock, uptime func() time.Duration, fleet Fleet, log *slog.Logger, onChange func(Snapshot)) *Catalog {
 	res := &Catalog{
-		directory:   directory,
-		clock:       clock,
-		log:         log,
-		uptime:      uptime,
-		rank:        rank,
-		onChange:    onChange,
-		rereadTable: make(chan struct{}, 1),
-		missing:     map[string]time.Time{},
+		directory:       directory,
+		clock:           clock,
+		log:             log,
+		uptime:          uptime,
+		fleet:           fleet,
+		onChange:        onChange,
+		rereadTable:     make(chan struct{}, 1),
+		rereadEndpoints: make(chan struct{}, 1),
+		missing:         map[string]time.Time{},
 	}
 	res.current.Store(&Snapshot{})
 	return res
@@ -150,9 +188,11 @@
 }
 
 // requestReread ends the watch of the table, so that the full table is read.
-func (c *Catalog) requestReread() {
+func (c *Catalog) requestReread() { signal(c.rereadTable) }
+
+func signal(requests chan<- struct{}) {
 	select {
-	case c.rereadTable <- struct{}{}:
+	case requests <- struct{}{}:
 	default:
 	}
 }
@@ -173,7 +213,9 @@
 	delay := confirmCheckInterval
 	for c.clock.Sleep(ctx, delay) == nil {
 		delay = confirmCheckInterval
-		due := min(firstConfirmAge+time.Duration(c.rank())*confirmAgeStep, maxConfirmAge)
+		rank := c.fleet.Rank()
+		due := min(firstConfirmAge+time.Duration(rank)*confirmAgeStep, maxConfirmAge)
+		backoff := maxBackoff * time.Duration(1+rank/ranksPerBackoff)
 		revision := c.watchedRevision.Load()
 		if revision == 0 || c.Age() < due {
 			continue
@@ -189,9 +231,9 @@
 			c.mu.Unlock()
 		case errors.Is(err, damasktrail.ErrHistoryGone):
 			c.requestReread()
-			delay = maxBackoff
+			delay = backoff
 		default:
-			delay = maxBackoff
+			delay = backoff
 		}
 	}
 }
@@ -222,24 +264,47 @@
 		return c.directory.Table(ctx)
 	}
 	c.watchedRevision.Store(f.revision)
+	if !c.fleet.Follows() {
+		return damasktrail.TableUpdate{}, c.idle(ctx, c.rereadTable)
+	}
+	return interruptible(ctx, c, c.rereadTable, func(ctx context.Context) (damasktrail.TableUpdate, error) {
+		return c.directory.WatchTable(ctx, f.revision, tableWatchTimeout)
+	})
+}
+
+// idle waits for a request to read the whole value, or for idleCheckInterval.
+func (c *Catalog) idle(ctx context.Context, reread <-chan struct{}) error {
+	select {
+	case <-reread:
+		return errReread
+	default:
+	}
+	if err := c.clock.Sleep(ctx, idleCheckInterval); err != nil {
+		return err
+	}
+	return damasktrail.ErrUnchanged
+}
+
+// interruptible runs a watch that ends with errReread when a full read is requested.
+func interruptible[T any](ctx context.Context, c *Catalog, reread <-chan struct{}, watch func(context.Context) (T, error)) (T, error) {
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	c.tasks.Go(func(context.Context) {
 		select {
-		case <-c.rereadTable:
+		case <-reread:
 			stop(errReread)
 		case <-ctx.Done():
 		}
 	})
-	news, err := c.directory.WatchTable(ctx, f.revision, tableWatchTimeout)
+	news, err := watch(ctx)
 	if err != nil && errors.Is(context.Cause(ctx), errReread) {
 		err = errReread
 	}
 	return news, err
 }
 
-// errReread ends a watch of the table when a full read is requested.
-var errReread = errors.New("full read of the table requested")
+// errReread ends a watch when a full read is requested.
+var errReread = errors.New("full read requested")
 
 // confirm records that the table was the newest at the given uptime; an earlier
 // uptime than the recorded one is ignored. The caller holds mu.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,7 +68,7 @@
 	err := d.countCall()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	res := damasktrail.EndpointUpdate{Revision: d.revision}
+	res := damasktrail.EndpointUpdate{Revision: d.revision, Changed: d.revision}
 	for _, e := range d.list.All() {
 		res.Changes = append(res.Changes, damasktrail.EndpointChange{Endpoint: e})
 	}
@@ -117,15 +118,26 @@
 	return res
 }
 
+// fakeFleet is a fleet in which this entry has the first rank.
+type fakeFleet struct{ idle atomic.Bool }
+
+func (*fakeFleet) Rank() int       { return 0 }
+func (f *fakeFleet) Follows() bool { return !f.idle.Load() }
+
 // runCatalog runs f with a catalog that watches d, on a fake clock.
 func runCatalog(t *testing.T, d *fakeDirectory, f func(c *catalog.Catalog)) {
+	runInFleet(t, d, &fakeFleet{}, f)
+}
+
+// runInFleet is runCatalog with a fleet.
+func runInFleet(t *testing.T, d *fakeDirectory, fleet catalog.Fleet, f func(c *catalog.Catalog)) {
 	synctest.Test(t, func(t *testing.T) {
 		d.revision = 1
 		d.table = newTable(t, 1)
 		tasks := group.New(context.Background())
 		start := time.Now()
 		uptime := func() time.Duration { return time.Hour + time.Since(start) }
-		c := catalog.New(d, timer.New(tasks), uptime, func() int { return 0 }, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+		c := catalog.New(d, timer.New(tasks), uptime, fleet, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
 		require.Equal(t, time.Hour, c.Age())
 		c.Start(tasks)
 		time.Sleep(10 * time.Millisecond)
@@ -273,3 +285,69 @@
 		require.Equal(t, fleet.Leaving, e.State)
 	})
 }
+
+// Guards against calls of entries that need not follow the directory: in a fleet of
+// 68 entries they made up most of 200 calls a second. Their table still changes with
+// that of their peers, and they have no list of endpoints that could grow old.
+func TestIdle(t *testing.T) {
+	d := &fakeDirectory{list: fleet.Of(fleet.Endpoint{ID: "a", Slots: 1})}
+	fleetOfMany := &fakeFleet{}
+	runInFleet(t, d, fleetOfMany, func(c *catalog.Catalog) {
+		require.Len(t, c.Snapshot().Endpoints.All(), 1)
+		fleetOfMany.idle.Store(true)
+		time.Sleep(8 * time.Second)
+		require.Empty(t, c.Snapshot().Endpoints.All())
+		d.mu.Lock()
+		before := d.calls
+		d.mu.Unlock()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			c.Confirm(1, time.Hour+time.Hour)
+		}
+		d.mu.Lock()
+		require.LessOrEqual(t, d.calls, before+1, "calls in ten seconds")
+		d.mu.Unlock()
+		d.update(func() { d.table = newTable(t, 2) })
+		c.Hint(2)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, uint64(2), c.Snapshot().Table.Version)
+		fleetOfMany.idle.Store(false)
+		time.Sleep(100 * time.Millisecond)
+		require.Len(t, c.Snapshot().Endpoints.All(), 1, "followed again")
+	})
+}
+
+// Guards against a coordinator with an old list of endpoints: in a simulated day one
+// that was cut off from the directory granted slots of an endpoint 4.2 s after it
+// had begun to leave.
+func TestEndpointsStale(t *testing.T) {
+	d := &fakeDirectory{}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		d.update(func() { d.err = errDown })
+		time.Sleep(500 * time.Millisecond)
+		require.False(t, c.EndpointsStale(), "nobody reads a newer list")
+		c.Confirm(1, time.Hour+400*time.Millisecond)
+		require.True(t, c.EndpointsStale(), "the directory answers a peer")
+		d.update(func() { d.err = nil })
+		time.Sleep(time.Second)
+		require.False(t, c.EndpointsStale())
+	})
+}
+
+// Guards against a watch of the endpoints that misses a change without an error: a
+// peer that knows the change makes the catalog read the list.
+func TestHintEndpoints(t *testing.T) {
+	d := &fakeDirectory{}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		time.Sleep(100 * time.Millisecond)
+		d.update(func() {
+			d.stuck = true
+			d.list = fleet.Of(fleet.Endpoint{ID: "a", Slots: 1})
+		})
+		for range 7 {
+			c.HintEndpoints(2)
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Len(t, c.Snapshot().Endpoints.All(), 1)
+	})
+}
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -13,29 +13,111 @@
 func (c *Catalog) followEndpoints(ctx context.Context) {
 	f := follower{clock: c.clock, log: c.log, topic: "endpoints"}
 	for ctx.Err() == nil {
-		if f.needsFullRead() {
-			news, err := c.directory.Endpoints(ctx)
-			if err != nil {
-				f.failed(ctx, err)
-				continue
-			}
-			c.replace(news, f.outage, c.clock.Now())
-			f.succeeded(news.Revision)
+		idle := f.revision != 0 && !c.fleet.Follows()
+		if idle && f.failures == 0 {
+			c.dropEndpoints()
+			f.forceFullRead = true
+			_ = c.clock.Sleep(ctx, idleCheckInterval)
 			continue
 		}
-		news, err := c.watchEndpoints(ctx, &f)
+		changed, err := c.updateEndpoints(ctx, &f)
+		c.endpointsRevision.Store(f.revision)
 		switch {
-		case err == nil:
-			c.apply(news)
-			f.succeeded(news.Revision)
+		case err == nil, errors.Is(err, damasktrail.ErrUnchanged):
+			c.endpointsFailedAt.Store(0)
+		case f.failures > 0:
+			c.endpointsFailedAt.CompareAndSwap(0, max(1, int64(c.uptime())))
+		}
+		switch {
+		case idle && err != nil:
+			_ = c.clock.Sleep(ctx, idleRetryDelay)
+		case changed:
 			_ = c.clock.Sleep(ctx, endpointsWatchDelay)
-		case errors.Is(err, damasktrail.ErrUnchanged):
-			c.expire(c.clock.Now())
-			f.succeeded(f.revision)
-		default:
+		}
+	}
+}
+
+// updateEndpoints reads the full list if a full read is due, and otherwise watches
+// for changes. changed reports whether a watch has returned any.
+func (c *Catalog) updateEndpoints(ctx context.Context, f *follower) (changed bool, err error) {
+	if f.needsFullRead() {
+		news, err := c.directory.Endpoints(ctx)
+		if err != nil {
 			f.failed(ctx, err)
+			return false, err
 		}
+		c.replace(news, f.outage, c.clock.Now())
+		c.endpointsChanged.Store(max(c.endpointsChanged.Load(), news.Changed))
+		f.succeeded(news.Revision)
+		return false, nil
+	}
+	news, err := interruptible(ctx, c, c.rereadEndpoints, func(ctx context.Context) (damasktrail.EndpointUpdate, error) {
+		return c.watchEndpoints(ctx, f)
+	})
+	switch {
+	case err == nil:
+		c.apply(news)
+		c.endpointsChanged.Store(max(c.endpointsChanged.Load(), news.Revision))
+		f.succeeded(news.Revision)
+	case errors.Is(err, damasktrail.ErrUnchanged):
+		c.expire(c.clock.Now())
+		f.succeeded(f.revision)
+	default:
+		f.failed(ctx, err)
+	}
+	return err == nil, err
+}
+
+// dropEndpoints empties the list, which would grow old while this entry does not
+// follow the directory.
+func (c *Catalog) dropEndpoints() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := *c.current.Load()
+	if len(s.Endpoints.All()) == 0 {
+		return
+	}
+	c.log.Info("endpoints are no longer followed")
+	clear(c.missing)
+	s.Endpoints = fleet.List{}
+	c.publish(s)
+}
+
+// EndpointsChanged returns the revision of the last change of the endpoints that this
+// entry knows.
+func (c *Catalog) EndpointsChanged() uint64 { return c.endpointsChanged.Load() }
+
+// HintEndpoints reports that a peer knows a change of the endpoints of that revision.
+// If the catalog still does not know it after maxBehind, the list is read at once.
+func (c *Catalog) HintEndpoints(revision uint64) {
+	now := c.clock.Now()
+	c.hintMu.Lock()
+	defer c.hintMu.Unlock()
+	c.newestEndpoints = max(c.newestEndpoints, revision)
+	switch {
+	case c.newestEndpoints <= c.endpointsRevision.Load():
+		c.behindSince = time.Time{}
+	case c.behindSince.IsZero():
+		c.behindSince = now
+	case now.Sub(c.behindSince) > maxBehind:
+		c.behindSince = now
+		signal(c.rereadEndpoints)
+	}
+}
+
+// EndpointsStale reports whether the directory does not answer this entry although
+// it answers a peer. The list of endpoints is then older than the peer's.
+func (c *Catalog) EndpointsStale() bool {
+	failedAt := c.endpointsFailedAt.Load()
+	if failedAt == 0 {
+		return false
+	}
+	if c.confirmedAt.Load() > failedAt+int64(confirmSlack) {
+		return true
 	}
+	c.hintMu.Lock()
+	defer c.hintMu.Unlock()
+	return c.newestEndpoints > c.endpointsRevision.Load()
 }
 
 // watchEndpoints waits for changes of the endpoints. While endpoints are missing,
--- /dev/null
+++ b/coordinator/fleet_test.go
@@ -0,0 +1,304 @@
+package coordinator_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"damasktrail.dev/coordinator"
+	"damasktrail.dev/dispatch"
+	"damasktrail.dev/fleet"
+	"damasktrail.dev/group"
+	"damasktrail.dev/timer"
+)
+
+// network is a simulated fleet of entries whose datagrams take messageDelay and may
+// be lost. Reports between coordinators take reportDelay.
+type network struct {
+	tasks *group.Group
+	clock *timer.Clock
+	loss  float64
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	election coordinator.Election
+	nodes    map[string]*node
+	changed  map[string]bool
+}
+
+// node is one entry of the network.
+type node struct {
+	coordinator.Member
+	network   *network
+	scheduler *dispatch.Scheduler
+	client    *coordinator.Client
+	server    *coordinator.Server
+	// down says that the entry gets and sends nothing.
+	down bool
+}
+
+const (
+	messageDelay = 2 * time.Millisecond
+	reportDelay  = 6 * time.Millisecond
+	// detectionTime is the time after which a lost entry is left out of the election.
+	detectionTime = 900 * time.Millisecond
+)
+
+// newNetwork starts the members with the given endpoints.
+func newNetwork(members []coordinator.Member, endpoints fleet.List, loss float64) *network {
+	tasks := group.New(context.Background())
+	n := &network{
+		tasks: tasks, clock: timer.New(tasks), loss: loss, random: rand.New(rand.NewPCG(1, 2)),
+		election: coordinator.Elect(members), nodes: map[string]*node{}, changed: map[string]bool{},
+	}
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	for _, m := range members {
+		p := &node{Member: m, network: n}
+		p.scheduler = dispatch.New(n.clock, m.Name, m.Domain, func(bool) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.changed[m.Name] = true
+		})
+		p.scheduler.SetTurns(dispatch.OwnerTurns)
+		p.scheduler.SetEndpoints(endpoints)
+		p.client = coordinator.NewClient(m.Name, 1, p, p.scheduler, n.clock, quiet)
+		p.server = coordinator.NewServer(p.scheduler, n.clock, tasks, quiet, p.Send)
+		p.client.Start()
+		n.nodes[m.Name] = p
+	}
+	n.clock.Subscribe(reportDelay, func(time.Time) { n.report() })
+	return n
+}
+
+// report delivers the reports of the entries that have changed to the coordinators.
+func (n *network) report() {
+	n.mu.Lock()
+	changed, election := n.changed, n.election
+	n.changed = map[string]bool{}
+	n.mu.Unlock()
+	for name := range changed {
+		from := n.nodes[name]
+		if n.isDown(from) {
+			continue
+		}
+		r := from.scheduler.Report()
+		r.Passive = !election.IsCoordinator(name)
+		for id, load := range from.client.OrphanedLoads() {
+			r.Loads[id] = load
+		}
+		for _, to := range election.Coordinators() {
+			if to != name {
+				n.nodes[to].scheduler.SetPeer(name, r)
+			}
+		}
+	}
+}
+
+func (n *network) isDown(p *node) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return p.down
+}
+
+// kill makes an entry silent. The others notice it after detectionTime.
+func (n *network) kill(name string) {
+	n.mu.Lock()
+	n.nodes[name].down = true
+	n.mu.Unlock()
+	n.clock.Schedule(detectionTime, func(time.Time) {
+		n.mu.Lock()
+		var live []coordinator.Member
+		for _, p := range n.nodes {
+			if !p.down {
+				live = append(live, p.Member)
+			}
+		}
+		n.election = coordinator.Elect(live)
+		n.mu.Unlock()
+		for _, p := range n.nodes {
+			p.scheduler.SetPeer(name, dispatch.Report{})
+			p.server.Forget(name)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for other := range n.nodes {
+			n.changed[other] = true
+		}
+	})
+}
+
+// Candidates implements coordinator.Fleet.
+func (p *node) Candidates() []string {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	if p.network.election.IsEqual() {
+		return nil
+	}
+	return p.network.election.Candidates(p.Name, p.Domain)
+}
+
+// Available implements coordinator.Fleet.
+func (p *node) Available(name string) bool {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	return p.network.election.IsCoordinator(name)
+}
+
+// Alive implements coordinator.Fleet.
+func (p *node) Alive(name string) bool { return p.Available(name) }
+
+// Send implements coordinator.Fleet.
+func (p *node) Send(name string, datagram []byte) {
+	n := p.network
+	n.mu.Lock()
+	to := n.nodes[name]
+	lost := p.down || to == nil || n.random.Float64() < n.loss
+	n.mu.Unlock()
+	if lost {
+		return
+	}
+	n.clock.Schedule(messageDelay, func(time.Time) {
+		if !n.isDown(to) {
+			_ = coordinator.Receive(to.client, to.server, p.Name, datagram)
+		}
+	})
+}
+
+// close ends the network.
+func (n *network) close() { n.tasks.Close() }
+
+// engine runs requests in its slots and queues more in order of arrival.
+type engine struct {
+	slots chan struct{}
+	// slowdown multiplies the time that requests take.
+	slowdown float64
+}
+
+// load is a simulated load on the fleet of the large site: portfolio assessments,
+// appeal summaries and booth notes.
+type load struct {
+	domains, entriesPerDomain, engines int
+	requestsPerSecond                  float64
+	duration                           time.Duration
+	loss                               float64
+	// killAt is the time at which the first coordinator is lost; zero for never.
+	killAt time.Duration
+}
+
+// outcomes counts what callers get and what engines see.
+type outcomes struct {
+	asked, inTime, refused [3]int
+	sent, foundFull        int
+	// maxOver is the largest number of requests at one engine beyond its slots, and
+	// overSince the time of the last one.
+	maxOver  int
+	lastOver time.Duration
+	// left is the number of slots that are still counted when all requests have
+	// ended.
+	left int
+}
+
+const slotsPerEngine = 4
+
+// kinds are the requests of the large site by tier: share, objective, time in a slot
+// of a fast engine.
+var kinds = [3]struct {
+	share           float64
+	objective, hold time.Duration
+}{
+	{0.36, time.Second, 600 * time.Millisecond},
+	{0.25, 800 * time.Millisecond, 300 * time.Millisecond},
+	{0.39, 600 * time.Millisecond, 700 * time.Millisecond},
+}
+
+// play plays the load in virtual time.
+func (l load) play(t *testing.T) (res outcomes) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		engines := map[string]*engine{}
+		list := fleet.List{}
+		for i := range l.engines {
+			e := fleet.Endpoint{ID: "i-" + string(rune('a'+i/26)) + string(rune('a'+i%26)), Service: "llm", Domain: domainName(i % l.domains), Slots: slotsPerEngine}
+			list = list.With(e)
+			// Every third engine takes four times as long as the others.
+			engines[e.ID] = &engine{slots: make(chan struct{}, slotsPerEngine), slowdown: []float64{0.7, 0.7, 3}[i/l.domains%3]}
+		}
+		m := members(l.domains, l.entriesPerDomain)
+		n := newNetwork(m, list, l.loss)
+		begin := time.Now()
+		if l.killAt > 0 {
+			n.clock.Schedule(l.killAt, func(time.Time) { n.kill(m[0].Name) })
+		}
+		var mu sync.Mutex
+		atEngine := map[string]int{}
+		requests := group.New(context.Background())
+		random := rand.New(rand.NewPCG(3, 4))
+		for time.Since(begin) < l.duration {
+			time.Sleep(time.Duration(random.ExpFloat64() / l.requestsPerSecond * float64(time.Second)))
+			tier, x := 0, random.Float64()
+			for tier < 2 && x >= kinds[tier].share {
+				x -= kinds[tier].share
+				tier++
+			}
+			p := n.nodes[m[random.IntN(len(m))].Name]
+			if n.isDown(p) {
+				continue
+			}
+			length := 0.3 + random.ExpFloat64()*0.7
+			requests.Go(func(ctx context.Context) {
+				start := time.Now()
+				s, refused := p.client.Acquire(ctx, dispatch.Request{
+					Service: "llm", Engine: true, Organisation: "o", Tier: tier, Objective: kinds[tier].objective, Timeout: 10 * time.Second, Prompt: 2000,
+				})
+				mu.Lock()
+				res.asked[tier]++
+				if refused != nil {
+					res.refused[tier]++
+					mu.Unlock()
+					return
+				}
+				e := engines[s.Endpoint.ID]
+				atEngine[s.Endpoint.ID]++
+				res.sent++
+				if over := atEngine[s.Endpoint.ID] - slotsPerEngine; over > 0 {
+					res.foundFull++
+					res.maxOver = max(res.maxOver, over)
+					res.lastOver = time.Since(begin)
+				}
+				mu.Unlock()
+				e.slots <- struct{}{}
+				time.Sleep(time.Duration(e.slowdown * float64(100*time.Millisecond)))
+				s.Started()
+				if time.Since(start) <= kinds[tier].objective {
+					mu.Lock()
+					res.inTime[tier]++
+					mu.Unlock()
+				}
+				time.Sleep(time.Duration(length * e.slowdown * float64(kinds[tier].hold)))
+				<-e.slots
+				mu.Lock()
+				atEngine[s.Endpoint.ID]--
+				mu.Unlock()
+				s.Done(dispatch.Answered, time.Duration(e.slowdown*float64(13*time.Millisecond)))
+			})
+		}
+		requests.Wait()
+		time.Sleep(3 * time.Second)
+		for _, p := range n.nodes {
+			if !n.isDown(p) {
+				for _, h := range p.scheduler.Report().Loads {
+					res.left += h.Requests
+				}
+			}
+		}
+		n.close()
+	})
+	return res
+}
+
+func domainName(i int) string { return "d" + string(rune('0'+i)) }
--- /dev/null
+++ b/coordinator/load_test.go
@@ -0,0 +1,53 @@
+package coordinator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a large fleet whose entries do not know which engines are full: on
+// the large site, where each entry heard 32 of 67 peers, more urgent streams came
+// late than in time. The load is a burst of one and a half times the capacity.
+func TestBurst(t *testing.T) {
+	got := load{domains: 5, entriesPerDomain: 14, engines: 117, requestsPerSecond: 1100, duration: 6 * time.Second}.play(t)
+	t.Logf("%+v", got)
+	require.Greater(t, got.inTime[0], 95*got.asked[0]/100, "highest tier in time")
+	require.Greater(t, got.inTime[1], 90*got.asked[1]/100)
+	require.Less(t, got.foundFull, got.sent/20, "requests that find their engine full")
+	require.Zero(t, got.left, "slots that nobody holds")
+}
+
+// Guards against refusals and waits while there is capacity for all requests.
+func TestLowLoad(t *testing.T) {
+	got := load{domains: 5, entriesPerDomain: 14, engines: 117, requestsPerSecond: 200, duration: 5 * time.Second}.play(t)
+	t.Logf("%+v", got)
+	for tier := range kinds {
+		require.Greater(t, got.inTime[tier], 98*got.asked[tier]/100)
+	}
+	require.Zero(t, got.foundFull)
+}
+
+// Guards against slots that stay taken, or are given out twice, when messages are
+// lost. One datagram in ten is lost.
+func TestLostMessages(t *testing.T) {
+	got := load{domains: 3, entriesPerDomain: 8, engines: 44, requestsPerSecond: 180, duration: 6 * time.Second, loss: 0.1}.play(t)
+	t.Logf("%+v", got)
+	require.Greater(t, got.inTime[0], 95*got.asked[0]/100)
+	require.Less(t, got.foundFull, got.sent/50)
+	require.Zero(t, got.left, "slots that nobody holds")
+}
+
+// Guards against a fleet that depends on one entry: a coordinator is lost in a burst.
+// Its clients ask another one, which does not know of the slots that were granted
+// until they are reported. So engines get more than their slots for a moment; three
+// seconds later none may.
+func TestLostCoordinator(t *testing.T) {
+	got := load{domains: 5, entriesPerDomain: 14, engines: 117, requestsPerSecond: 740, duration: 9 * time.Second, killAt: 3 * time.Second}.play(t)
+	t.Logf("%+v", got)
+	require.Greater(t, got.inTime[0], 93*got.asked[0]/100, "highest tier in time")
+	require.LessOrEqual(t, got.maxOver, slotsPerEngine, "requests beyond the slots of an engine")
+	require.Less(t, got.foundFull, got.sent/20)
+	require.Zero(t, got.left, "slots that nobody holds")
+}
--- /dev/null
+++ b/coordinator/message.go
@@ -0,0 +1,132 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"damasktrail.dev"
+	"damasktrail.dev/dispatch"
+	"damasktrail.dev/fleet"
+)
+
+// kind is the kind of a message.
+type kind uint8
+
+// Kinds of messages. A client sends asks, starts, ends, cancellations and holdings;
+// a coordinator sends the others.
+const (
+	// kindAsk asks for a slot.
+	kindAsk kind = iota + 1
+	// kindQueued says that the ask waits for a slot.
+	kindQueued
+	// kindGranted carries a slot.
+	kindGranted
+	// kindRefused says that the ask got no slot.
+	kindRefused
+	// kindStarted says that the first byte of the answer has arrived.
+	kindStarted
+	// kindDone gives the slot back.
+	kindDone
+	// kindCancelled withdraws the ask, or gives back a slot that was not used.
+	kindCancelled
+	// kindHoldings lists the asks and slots of the client.
+	kindHoldings
+	// kindUnknown says that the coordinator does not have an ask that the client
+	// listed, or cannot take it.
+	kindUnknown
+)
+
+// message is one message between a client and a coordinator. It is encoded as an
+// array without field names.
+type message struct {
+	_    struct{} `cbor:",toarray"`
+	Kind kind
+	// Boot is the incarnation of the client, ID its number of the ask.
+	Boot, ID uint64
+	Ask      *ask
+	Slot     *slot
+	Refusal  *refusal
+	// Result and PaceNanos describe the end of an attempt.
+	Result    dispatch.Result
+	PaceNanos int64
+	// Waiting and Held are the numbers of the client's asks that wait and of those
+	// that have got a slot.
+	Waiting, Held []uint64
+}
+
+// ask is the wire format of a dispatch.Request.
+type ask struct {
+	_              struct{} `cbor:",toarray"`
+	Service        string
+	Engine         bool
+	Organisation   string
+	Tier           int
+	ObjectiveNanos int64
+	TimeoutNanos   int64
+	Prompt         int
+	Avoid          string
+}
+
+// slot is the wire format of a dispatch.Grant.
+type slot struct {
+	_                       struct{} `cbor:",toarray"`
+	ID, Service, Address    string
+	Domain                  string
+	StartedMillis           int64
+	Own, Peers, Free, Slots int
+	PaceNanos               int64
+}
+
+// refusal is the wire format of a damasktrail.Refusal with the outcome NotRun.
+type refusal struct {
+	_               struct{} `cbor:",toarray"`
+	Reason          damasktrail.Reason
+	RetryAfterNanos int64
+	Detail          string
+}
+
+func encode(m message) ([]byte, error) { return cbor.Marshal(m) }
+
+func decode(datagram []byte) (m message, err error) {
+	err = cbor.Unmarshal(datagram, &m)
+	return m, err
+}
+
+func newAsk(r dispatch.Request) *ask {
+	return &ask{
+		Service: r.Service, Engine: r.Engine, Organisation: r.Organisation, Tier: r.Tier,
+		ObjectiveNanos: int64(r.Objective), TimeoutNanos: int64(r.Timeout), Prompt: r.Prompt, Avoid: r.Avoid,
+	}
+}
+
+func (a *ask) request() dispatch.Request {
+	return dispatch.Request{
+		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: max(0, a.Tier),
+		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid,
+	}
+}
+
+func newSlot(g *dispatch.Grant) *slot {
+	e, c := g.Endpoint, g.Choice
+	return &slot{
+		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, StartedMillis: e.StartedMillis, Slots: e.Slots,
+		Own: c.Own, Peers: c.Peers, Free: c.Free, PaceNanos: int64(c.Pace),
+	}
+}
+
+func (s *slot) endpoint() fleet.Endpoint {
+	return fleet.Endpoint{ID: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, StartedMillis: s.StartedMillis, Slots: s.Slots}
+}
+
+func (s *slot) choice() dispatch.Choice {
+	return dispatch.Choice{Own: s.Own, Peers: s.Peers, Free: s.Free, Pace: time.Duration(s.PaceNanos)}
+}
+
+func newRefusal(r *damasktrail.Refusal) *refusal {
+	return &refusal{Reason: r.Reason, RetryAfterNanos: int64(r.RetryAfter), Detail: r.Detail}
+}
+
+func (r *refusal) refusal() *damasktrail.Refusal {
+	return &damasktrail.Refusal{Reason: r.Reason, Outcome: damasktrail.NotRun, RetryAfter: time.Duration(r.RetryAfterNanos), Detail: r.Detail}
+}
--- a/directory.go
+++ b/directory.go
@@ -35,6 +35,9 @@
 	Changes []EndpointChange
 	// Revision is the revision from which a watch continues.
 	Revision uint64
+	// Changed is the revision of the last change of an entry of the list after a
+	// read; zero after a watch.
+	Changed uint64
 	// Unreadable is the number of entries that could not be decoded. A read omits
 	// them, a watch reports them as removed.
 	Unreadable int
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,6 +92,13 @@
 	Avoid string
 }
 
+// WithElapsed returns the request as it is after a time has passed.
+func (r Request) WithElapsed(d time.Duration) Request {
+	r.Objective = max(0, r.Objective-d)
+	r.Timeout -= d
+	return r
+}
+
 // service is the state of one service.
 type service struct {
 	name string
@@ -128,6 +135,7 @@
 	// endpoint ID.
 	peers     map[string]Report
 	peerLoads map[string]Load
+	turns     Turns
 	lastID    uint64
 }
 
@@ -158,7 +166,7 @@
 		v := s.service(e.Service)
 		old, found := v.endpoints[e.ID]
 		if !found {
-			old = &endpoint{grants: map[*Grant]struct{}{}}
+			old = &endpoint{grants: map[*Grant]struct{}{}, draws: map[string]float64{}}
 			v.endpoints[e.ID] = old
 		}
 		old.Endpoint = e
@@ -173,6 +181,35 @@
 	}
 }
 
+// Ready reports whether there is any endpoint.
+func (s *Scheduler) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.services {
+		if len(v.endpoints) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Busy reports whether a request waits or is in flight.
+func (s *Scheduler) Busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.services {
+		if v.waiting.Len() > 0 {
+			return true
+		}
+		for _, e := range v.endpoints {
+			if len(e.grants) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Tick assigns waiting requests to endpoints whose backoff has ended.
 func (s *Scheduler) Tick() {
 	s.mu.Lock()
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -28,6 +28,8 @@
 	// there has been at least one; zero when there is none.
 	freeSlots int
 	freeSince time.Time
+	// draws has the draw of each entry for the turns at the endpoint, by name.
+	draws map[string]float64
 }
 
 // backOff pauses requests to the endpoint for a time that grows exponentially with
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -20,6 +20,9 @@
 	Waiting map[string]map[int]int
 	// Unreachable has the IDs of endpoints that the entry cannot connect to.
 	Unreachable []string
+	// Passive says that the entry holds slots but takes none itself, since another
+	// entry grants them to it.
+	Passive bool
 }
 
 // SetPeer replaces the report of one peer. An empty report removes the peer.
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -5,8 +5,6 @@
 	"io"
 	"math"
 	"time"
-
-	"damasktrail.dev/fleet"
 )
 
 const (
@@ -17,8 +15,31 @@
 	// sameDomainWeight is how much more often an entry in the failure domain of the
 	// endpoint has the first turn at a slot than one in another failure domain.
 	sameDomainWeight = 4
+	// ownerTurnDuration replaces turnDurationPerPeer among coordinators, of which one
+	// owns the endpoints of its failure domain. It covers the delay of a report to
+	// another failure domain.
+	ownerTurnDuration = 20 * time.Millisecond
+)
+
+// Turns says how entries take turns at free slots.
+type Turns int
+
+const (
+	// EqualTurns give every entry a part of the first turns at each endpoint.
+	EqualTurns Turns = iota
+	// OwnerTurns give all first turns at an endpoint to the entries of its failure
+	// domain. Others get a slot that the domain leaves free.
+	OwnerTurns
 )
 
+// SetTurns sets how this entry and its peers take turns. All of them must use the same
+// value.
+func (s *Scheduler) SetTurns(t Turns) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns = t
+}
+
 // contender is an entry that may compete for a slot.
 type contender struct {
 	entry, domain string
@@ -26,7 +47,7 @@
 	waiting int
 }
 
-// contenders returns all entries, this one first, with the number of their waiting
+// contenders returns all entries that take slots, this one first, with the number of their waiting
 // requests in a tier, and the number of requests of higher tiers that wait at
 // peers.
 func (s *Scheduler) contenders(v *service, tier int) (res []contender, higherWaiting int) {
@@ -38,6 +59,9 @@
 		}
 	})
 	for name, r := range s.peers {
+		if r.Passive {
+			continue
+		}
 		waiting := r.Waiting[v.name]
 		for rank, n := range waiting {
 			if rank < tier {
@@ -61,7 +85,10 @@
 func (s *Scheduler) availableSlots(v *service, now time.Time) (available map[*endpoint]int, next time.Duration) {
 	contenders, higherWaiting := s.contenders(v, v.waiting.Highest())
 	available = map[*endpoint]int{}
-	turnDuration := time.Duration(len(s.peers)) * turnDurationPerPeer
+	turnDuration := time.Duration(len(contenders)-1) * turnDurationPerPeer
+	if s.turns == OwnerTurns {
+		turnDuration = ownerTurnDuration
+	}
 	free := 0
 	for _, e := range v.endpoints {
 		free += e.freeSlots
@@ -73,7 +100,7 @@
 		if e.freeSlots == 0 {
 			continue
 		}
-		wait := time.Duration(turnsBefore(contenders, e.Endpoint)/e.freeSlots)*turnDuration - now.Sub(e.freeSince)
+		wait := time.Duration(s.turnsBefore(contenders, e)/e.freeSlots)*turnDuration - now.Sub(e.freeSince)
 		switch {
 		case wait <= 0:
 			available[e] = e.freeSlots
@@ -86,25 +113,34 @@
 
 // turnsBefore returns how many turns at an endpoint precede that of the first
 // contender.
-func turnsBefore(contenders []contender, e fleet.Endpoint) int {
-	own := contenders[0].score(e)
+func (s *Scheduler) turnsBefore(contenders []contender, e *endpoint) int {
+	own := e.score(contenders[0])
 	res := 0
 	for _, c := range contenders[1:] {
-		if c.score(e) < own {
+		before := e.score(c) < own
+		if s.turns == OwnerTurns && (c.domain == e.Domain) != (s.domain == e.Domain) {
+			before = c.domain == e.Domain
+		}
+		if before {
 			res++
 		}
 	}
 	return res
 }
 
-// score is the weighted rendezvous hash of the contender at an endpoint. The
-// contender with the lowest score has the first turn.
-func (c contender) score(e fleet.Endpoint) float64 {
+// score is the weighted rendezvous hash of a contender at the endpoint. The contender
+// with the lowest score has the first turn.
+func (e *endpoint) score(c contender) float64 {
+	d, found := e.draws[c.entry]
+	if !found {
+		d = -math.Log(uniformHash(c.entry, e.ID))
+		e.draws[c.entry] = d
+	}
 	weight := float64(1 + c.waiting)
 	if c.domain == e.Domain {
 		weight *= sameDomainWeight
 	}
-	return -math.Log(uniformHash(c.entry, e.ID)) / weight
+	return d / weight
 }
 
 // uniformHash maps its arguments to a number above 0 and up to 1, deterministically
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -21,6 +20,7 @@
 	"time"
 
 	"damasktrail.dev"
+	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
@@ -35,17 +35,28 @@
 	// collected and reported every flushInterval.
 	minReportInterval = 4 * time.Millisecond
 	flushInterval     = 40 * time.Millisecond
-	// datagramsPerSecond limits the rate at which an entry sends datagrams, so that
-	// their cost does not grow with the square of the fleet. datagramBurst is the
-	// number of datagrams that it may send at once after a pause.
-	datagramsPerSecond = 400
-	datagramBurst      = 100
+	// datagramsPerSecond limits the rate at which an entry reports changes, so that
+	// the cost does not grow with the square of the fleet. A coordinator of a large
+	// fleet reports the slots of many entries, to a few peers, and may send
+	// coordinatorDatagramsPerSecond. datagramBurst is the number of datagrams that it
+	// may send at once after a pause.
+	datagramsPerSecond            = 400
+	coordinatorDatagramsPerSecond = 1000
+	datagramBurst                 = 100
 	// otherDomainInterval is the time between two reports to peers in other failure
 	// domains when the rate limit does not allow all reports: entries mostly use
 	// endpoints of their own domain.
 	otherDomainInterval = 90 * time.Millisecond
-	// peerTimeout is how long a peer's report remains valid without a newer one.
-	peerTimeout = 900 * time.Millisecond
+	// memberReportsPerSecond limits the reports to all peers of a large fleet that
+	// are neither coordinators nor clients of this entry.
+	memberReportsPerSecond = 150
+	// peerTimeout is how long a peer's report remains valid without a newer one, and
+	// missedReports the number of reports that may be missing when they are rarer.
+	peerTimeout   = 900 * time.Millisecond
+	missedReports = 3
+	// availableTimeout is how recently a coordinator must have been heard to be asked
+	// for slots.
+	availableTimeout = 500 * time.Millisecond
 	// peerRetention is how long the address of a silent peer is kept.
 	peerRetention = time.Minute
 	// silentPeerInterval is the time between two reports to a silent peer.
@@ -59,18 +70,29 @@
 	// maxSuspects limits the suspects of one summary, so that a report fits into one
 	// packet. A crash of eleven endpoints left eighty suspects.
 	maxSuspects = 16
-	// maxPeers limits the number of peers that reports are sent to.
-	maxPeers = 32
+	// maxPeers limits the memory that datagrams from unknown addresses can take.
+	maxPeers = 1024
+	// maxListedPeers limits the peers that one summary lists, so that a report fits
+	// into one packet.
+	maxListedPeers = 32
 )
 
 // State is the part of a report that an entry sends after every change.
 type State struct {
-	// Table is the version of the routing table in force.
-	Table    uint64
-	Dispatch dispatch.Report
-	Leaving  bool
+	// Table is the version of the routing table in force, Endpoints the revision of
+	// the last change of the endpoints that the entry knows.
+	Table, Endpoints uint64
+	Dispatch         dispatch.Report
+	Leaving          bool
+	// Ineligible says that the entry must not be elected as a coordinator.
+	Ineligible bool
+	// Partial says that the report carries no Dispatch.
+	Partial bool
 }
 
+// eligible reports whether an entry in this state can be elected as a coordinator.
+func (s State) eligible() bool { return s.Table > 0 && !s.Leaving && !s.Ineligible }
+
 // Summary is the part of a report that an entry sends a few times a second. It is
 // larger than State and may be older.
 type Summary struct {
@@ -114,6 +136,8 @@
 	ForgetPeer(peer Peer)
 	// PeersChanged is called when the result of Peers may have changed.
 	PeersChanged()
+	// ReceiveDatagram handles a datagram that a peer passed to Send.
+	ReceiveDatagram(peer Peer, datagram []byte)
 }
 
 // peer is the state of the peer at one address.
@@ -127,14 +151,34 @@
 	// nanoseconds.
 	timestampNanos int64
 	domain         string
-	leaving        bool
-	silent         bool
+	millicores     int
+	// eligible says that the peer can be elected as a coordinator.
+	eligible bool
+	leaving  bool
+	silent   bool
+	// lastSummary is the time of the last report with a summary to the peer,
+	// summaries their number since it was last silent.
+	lastSummary time.Time
+	summaries   uint64
+}
+
+// membership is what the election depends on.
+type membership struct {
+	member bool
+	coordinator.Member
+}
+
+// member returns the membership of the peer.
+func (p *peer) member() membership {
+	if p.silent || !p.eligible {
+		return membership{}
+	}
+	return membership{member: true, Member: coordinator.Member{Name: p.Name, Domain: p.domain, Millicores: p.millicores}}
 }
 
 // Exchange sends and receives reports. It is safe for use by several goroutines.
 type Exchange struct {
-	name    string
-	domain  string
+	self    coordinator.Member
 	address netip.AddrPort
 	seeds   []netip.AddrPort
 	boot    uint64
@@ -150,20 +194,22 @@
 	// report.
 	changePending atomic.Bool
 
+	// election has the coordinators that follow from the live peers.
+	election atomic.Pointer[coordinator.Election]
+
 	mu           sync.Mutex
 	reportNumber uint64
-	// lastSummary is the time of the last summary, summaryCount the number of
-	// summaries sent.
-	lastSummary  time.Time
-	summaryCount uint64
-	// peers is keyed by address and holds at most maxPeers entries.
-	peers map[netip.AddrPort]*peer
+	// eligible says that this entry can be elected as a coordinator.
+	eligible bool
+	// peers is keyed by address and holds at most maxPeers entries, addresses by the
+	// names of peers.
+	peers     map[netip.AddrPort]*peer
+	addresses map[string]netip.AddrPort
 }
 
-// New binds address for an entry in a failure domain. Seeds are addresses of peers;
-// the entry's own address among them is ignored. Boot must differ between two
-// starts of the process.
-func New(name, domain, address string, seeds []string, boot uint64, handler Handler, clock damasktrail.Clock, uptime func() time.Duration, log *slog.Logger) (res *Exchange, err error) {
+// New binds address for the entry self. Seeds are addresses of peers; the entry's own
+// address among them is ignored. Boot must differ between two starts of the process.
+func New(self coordinator.Member, address string, seeds []string, boot uint64, handler Handler, clock damasktrail.Clock, uptime func() time.Duration, log *slog.Logger) (res *Exchange, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("open the exchange on %s: %w", address, err)
@@ -174,9 +220,11 @@
 		return nil, err
 	}
 	res = &Exchange{
-		name: name, domain: domain, address: own, boot: boot, handler: handler, clock: clock, uptime: uptime, log: log,
-		reportDue: make(chan struct{}, 1), peers: map[netip.AddrPort]*peer{},
+		self: self, address: own, boot: boot, handler: handler, clock: clock, uptime: uptime, log: log,
+		reportDue: make(chan struct{}, 1), peers: map[netip.AddrPort]*peer{}, addresses: map[string]netip.AddrPort{},
 	}
+	nobody := coordinator.Elect(nil)
+	res.election.Store(&nobody)
 	for _, s := range seeds {
 		a, err := netip.ParseAddrPort(s)
 		if err != nil {
@@ -235,204 +283,85 @@
 	x.peers[a] = &peer{silent: true}
 }
 
-// addListedPeers adds the peers that a summary lists.
-func (x *Exchange) addListedPeers(s *summary) {
-	if s == nil {
-		return
-	}
-	for _, text := range s.Peers {
-		if a, err := netip.ParseAddrPort(text); err == nil {
-			x.addPeer(a)
-		}
-	}
-}
-
-// runSender sends reports after changes, within the rate limit.
-func (x *Exchange) runSender(ctx context.Context) {
-	credit, lastRefill := float64(datagramBurst), x.clock.Now()
-	for {
-		select {
-		case <-x.reportDue:
-		case <-ctx.Done():
-			return
-		}
-		now := x.clock.Now()
-		credit = min(datagramBurst, credit+now.Sub(lastRefill).Seconds()*datagramsPerSecond)
-		lastRefill = now
-		credit -= float64(x.sendReports(now, reportIntervals{otherDomain: otherDomainWait(credit)}))
-		wait := max(minReportInterval, time.Duration(-credit/datagramsPerSecond*float64(time.Second)))
-		if x.clock.Sleep(ctx, wait) != nil {
-			return
-		}
-	}
-}
-
-// reportIntervals are the least times between two reports to a peer, by whether the
-// peer is in the same failure domain.
-type reportIntervals struct{ sameDomain, otherDomain time.Duration }
-
-// otherDomainWait returns the time between two reports to peers in other failure
-// domains while the given number of datagrams may be sent at once.
-func otherDomainWait(credit float64) time.Duration {
-	if credit > datagramBurst/2 {
-		return 0
-	}
-	return otherDomainInterval
-}
-
-// sendReports sends the state to the peers whose last report is old enough, and
-// returns their number.
-func (x *Exchange) sendReports(now time.Time, intervals reportIntervals) int {
-	targets := x.duePeers(now, intervals)
-	if len(targets) == 0 {
-		return 0
-	}
-	x.changePending.Store(false)
-	body, err := x.encode(now)
-	if err != nil {
-		x.log.Error("report cannot be encoded", "error", err)
-		return 0
-	}
-	for _, a := range targets {
-		trailer, err := x.encodeConfirmation(a)
-		if err != nil {
-			x.log.Error("report cannot be encoded", "error", err)
-			return 0
-		}
-		if _, err := x.conn.WriteToUDPAddrPort(slices.Concat(body, trailer), a); err != nil && !errors.Is(err, net.ErrClosed) {
-			x.log.Debug("report not sent", "peer", a.String(), "error", err)
+// HasAvailablePeer reports whether there is a live peer that is not shutting down.
+func (x *Exchange) HasAvailablePeer() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for p := range maps.Values(x.peers) {
+		if !p.silent && !p.leaving {
+			return true
 		}
 	}
-	return len(targets)
+	return false
 }
 
-// duePeers returns the addresses of the peers to report to and sets their time of
-// the last report.
-func (x *Exchange) duePeers(now time.Time, intervals reportIntervals) []netip.AddrPort {
+// Peers returns the names of the live peers, sorted.
+func (x *Exchange) Peers() []string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	var res []netip.AddrPort
-	for a, p := range x.peers {
-		wait := intervals.otherDomain
-		switch {
-		case p.silent:
-			wait = silentPeerInterval
-		case p.domain == x.domain:
-			wait = intervals.sameDomain
-		}
-		if now.Sub(p.lastSent) >= wait {
-			p.lastSent = now
-			res = append(res, a)
+	var res []string
+	for p := range maps.Values(x.peers) {
+		if !p.silent {
+			res = append(res, p.Name)
 		}
 	}
+	slices.Sort(res)
 	return res
 }
 
-// runReceiver reads reports until the connection is closed.
-func (x *Exchange) runReceiver(ctx context.Context) {
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		n, from, err := x.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			x.log.Warn("report not read", "error", err)
-			continue
-		}
-		m, c, err := decode(buffer[:n])
-		if err != nil {
-			x.log.Warn("report cannot be decoded", "peer", from.String(), "error", err)
-			continue
-		}
-		x.handleReport(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), m, c)
-	}
-}
+// Election returns the coordinators that follow from the peers that are live now.
+func (x *Exchange) Election() coordinator.Election { return *x.election.Load() }
 
-// handleReport applies a report unless a newer one has arrived before it.
-func (x *Exchange) handleReport(from netip.AddrPort, m message, c confirmation) {
-	s := m.toState()
+// Alive reports whether the peer of that name is not silent.
+func (x *Exchange) Alive(name string) bool {
 	x.mu.Lock()
-	x.addPeer(from)
-	p := x.peers[from]
-	if p == nil || p.Boot == m.Boot && m.Number <= p.reportNumber {
-		x.mu.Unlock()
-		return
-	}
-	previous, wasSilent := p.Peer, p.silent
-	p.Peer, p.reportNumber = Peer{Name: m.Name, Boot: m.Boot}, m.Number
-	p.lastHeard, p.leaving, p.silent = x.clock.Now(), s.Leaving, false
-	p.domain, p.timestampNanos = m.Domain, c.TimestampNanos
-	x.addListedPeers(m.Summary)
-	current := p.Peer
-	x.mu.Unlock()
-	if wasSilent {
-		x.log.Info("peer live", "peer", m.Name, "boot", m.Boot, "table", m.Table)
-	}
-	if previous.Name != "" && previous != current {
-		x.handler.ForgetPeer(previous)
-	}
-	if wasSilent {
-		x.handler.PeersChanged()
-	}
-	x.handler.ReceiveState(current, s)
-	if m.Summary != nil {
-		x.handler.ReceiveSummary(current, m.Summary.toSummary())
-	}
-	if c.validFor(x.boot, x.uptime()) {
-		x.handler.Confirm(c.Table, time.Duration(c.EchoNanos-c.AgeNanos))
-	}
+	defer x.mu.Unlock()
+	p := x.peers[x.addresses[name]]
+	return p != nil && p.Name == name && !p.silent
 }
 
-// tick reports to peers that got no report for maxReportInterval, invalidates the
-// state of peers that have timed out, and removes peers that have been silent for
-// peerRetention.
-func (x *Exchange) tick(now time.Time) {
-	var silent []Peer
+// Available reports whether the peer of that name has been heard recently and is not
+// shutting down.
+func (x *Exchange) Available(name string) bool {
 	x.mu.Lock()
-	for a, p := range x.peers {
-		switch {
-		case p.Name == "" || now.Sub(p.lastHeard) < peerTimeout:
-		case !p.silent:
-			p.silent = true
-			silent = append(silent, p.Peer)
-			x.log.Warn("peer silent", "peer", p.Name, "boot", p.Boot, "silence", now.Sub(p.lastHeard).Round(time.Millisecond))
-		case now.Sub(p.lastHeard) > peerRetention && !slices.Contains(x.seeds, a):
-			delete(x.peers, a)
-		}
-	}
-	x.mu.Unlock()
-	for _, p := range silent {
-		x.handler.PeerSilent(p)
+	defer x.mu.Unlock()
+	p := x.peers[x.addresses[name]]
+	if p == nil || p.Name != name || p.silent || p.leaving {
+		return false
 	}
-	if len(silent) > 0 {
-		x.handler.PeersChanged()
+	timeout := max(availableTimeout, missedReports*x.plan(p).interval)
+	if p.domain == x.self.Domain && x.Election().IsCoordinator(name) {
+		timeout = availableTimeout
 	}
-	x.sendReports(now, reportIntervals{sameDomain: maxReportInterval, otherDomain: maxReportInterval})
+	return x.clock.Now().Sub(p.lastHeard) < timeout
 }
 
-// HasAvailablePeer reports whether there is a live peer that is not shutting down.
-func (x *Exchange) HasAvailablePeer() bool {
+// Send sends a datagram to the peer of that name. The first byte of the datagram must
+// be that of a CBOR array, which no report begins with.
+func (x *Exchange) Send(name string, datagram []byte) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	for p := range maps.Values(x.peers) {
-		if !p.silent && !p.leaving {
-			return true
-		}
+	address, found := x.addresses[name]
+	x.mu.Unlock()
+	if !found {
+		return
 	}
-	return false
+	x.write(datagram, address)
 }
 
-// Peers returns the names of the live peers, sorted.
-func (x *Exchange) Peers() []string {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	var res []string
+// elect elects the coordinators anew. It is called with mu held.
+func (x *Exchange) elect() {
+	var members []coordinator.Member
+	if x.eligible {
+		members = append(members, x.self)
+	}
 	for p := range maps.Values(x.peers) {
-		if !p.silent {
-			res = append(res, p.Name)
+		if m := p.member(); m.member {
+			members = append(members, m.Member)
 		}
 	}
-	slices.Sort(res)
-	return res
+	before, next := x.election.Load(), coordinator.Elect(members)
+	x.election.Store(&next)
+	if was, is := before.IsCoordinator(x.self.Name), next.IsCoordinator(x.self.Name); was != is || before.IsEqual() != next.IsEqual() {
+		x.log.Info("coordinators elected", "members", len(members), "coordinators", len(next.Coordinators()), "self", is)
+	}
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
+	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/exchange"
 	"damasktrail.dev/frame"
@@ -30,6 +31,8 @@
 	summary   exchange.Summary
 	summaries map[string]exchange.Summary
 	forgotten []string
+	// datagrams has the names of the senders and the texts of datagrams.
+	datagrams []string
 	// age is the age of the table while no peer has confirmed it.
 	age time.Duration
 	// confirmed has the time of the latest confirmation by version of the table.
@@ -104,6 +107,12 @@
 
 func (h *fakeHandler) PeersChanged() {}
 
+func (h *fakeHandler) ReceiveDatagram(peer exchange.Peer, datagram []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.datagrams = append(h.datagrams, peer.Name+": "+string(datagram))
+}
+
 // heldRequests returns the number of requests of all peers at the endpoint e.
 func (h *fakeHandler) heldRequests() int {
 	h.mu.Lock()
@@ -126,7 +135,7 @@
 	t.Helper()
 	tasks := group.New(context.Background())
 	h := &fakeHandler{}
-	x, err := exchange.New(name, "d", address, seeds, 1, h, timer.New(tasks), timer.Uptime, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	x, err := exchange.New(coordinator.Member{Name: name, Domain: "d"}, address, seeds, 1, h, timer.New(tasks), timer.Uptime, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	x.Start(tasks)
 	t.Cleanup(tasks.Close)
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -51,6 +51,15 @@
 	Domain string `cbor:"9,keyasint,omitempty"`
 	// Unreachable has the IDs of endpoints that the sender cannot connect to.
 	Unreachable []string `cbor:"10,keyasint,omitempty"`
+	// Millicores is the part of a processor that the sender may use, in thousandths.
+	Millicores int `cbor:"11,keyasint,omitempty"`
+	// Partial says that Loads, Waiting and Unreachable are left out.
+	Partial bool `cbor:"12,keyasint,omitempty"`
+	// Endpoints is the revision of the last change of the endpoints that the sender
+	// knows.
+	Endpoints uint64 `cbor:"13,keyasint,omitempty"`
+	// Ineligible says that the sender must not be elected as a coordinator.
+	Ineligible bool `cbor:"14,keyasint,omitempty"`
 }
 
 // summary is the wire format of Summary.
@@ -105,45 +114,47 @@
 	return c.Boot == boot && c.EchoNanos > 0 && c.EchoNanos <= int64(now) && c.AgeNanos >= 0
 }
 
-// encode returns the next report without its confirmation.
-func (x *Exchange) encode(now time.Time) ([]byte, error) {
-	s := x.handler.State()
+// encode returns a report without its confirmation.
+func (x *Exchange) encode(s State, number uint64, kind bodyKind) ([]byte, error) {
 	m := message{
-		Name: x.name, Domain: s.Dispatch.Domain, Boot: x.boot, Table: s.Table, Waiting: s.Dispatch.Waiting, Leaving: s.Leaving,
-		Unreachable: s.Dispatch.Unreachable,
-		Loads:       make(map[string][2]int, len(s.Dispatch.Loads)),
+		Name: x.self.Name, Domain: x.self.Domain, Millicores: x.self.Millicores, Boot: x.boot, Number: number,
+		Table: s.Table, Endpoints: s.Endpoints, Leaving: s.Leaving, Ineligible: s.Ineligible, Partial: !kind.full,
 	}
-	for id, h := range s.Dispatch.Loads {
-		m.Loads[id] = [2]int{h.Requests, h.Prompt}
-	}
-	x.mu.Lock()
-	x.reportNumber++
-	m.Number = x.reportNumber
-	includeSummary := now.Sub(x.lastSummary) >= summaryInterval
-	if includeSummary {
-		x.lastSummary = now
-		m.Summary = &summary{Peers: x.listPeers()}
-		x.summaryCount++
-	}
-	x.mu.Unlock()
-	if includeSummary {
-		v := x.handler.Summary(maxSuspects)
-		m.Summary.Usage = v.Usage
-		for _, f := range v.Suspects {
-			m.Summary.Suspects = append(m.Summary.Suspects, suspect{Fingerprint: f.Fingerprint, Crashes: f.Crashes, AgeMillis: f.AgeMillis})
+	if kind.full {
+		m.Waiting, m.Unreachable = s.Dispatch.Waiting, s.Dispatch.Unreachable
+		m.Loads = make(map[string][2]int, len(s.Dispatch.Loads))
+		for id, h := range s.Dispatch.Loads {
+			m.Loads[id] = [2]int{h.Requests, h.Prompt}
 		}
 	}
+	if kind.summary {
+		m.Summary = x.newSummary(kind.listsPeers)
+	}
 	return cbor.Marshal(m)
 }
 
-// listPeers returns the addresses of the live peers for every eighth summary, nil
-// for the others. It is called with mu held.
-func (x *Exchange) listPeers() []string {
-	if x.summaryCount%summariesPerPeerList != 0 {
-		return nil
+// newSummary returns the current summary in its wire format.
+func (x *Exchange) newSummary(listsPeers bool) *summary {
+	v := x.handler.Summary(maxSuspects)
+	res := &summary{Usage: v.Usage}
+	for _, f := range v.Suspects {
+		res.Suspects = append(res.Suspects, suspect{Fingerprint: f.Fingerprint, Crashes: f.Crashes, AgeMillis: f.AgeMillis})
+	}
+	if listsPeers {
+		res.Peers = x.listPeers()
 	}
+	return res
+}
+
+// listPeers returns the addresses of some live peers, in random order.
+func (x *Exchange) listPeers() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	var res []string
 	for a, p := range x.peers {
+		if len(res) == maxListedPeers {
+			break
+		}
 		if !p.silent {
 			res = append(res, a.String())
 		}
@@ -164,9 +175,12 @@
 // toState converts the message to the state of its sender.
 func (m message) toState() State {
 	res := State{
-		Table:    m.Table,
-		Dispatch: dispatch.Report{Domain: m.Domain, Loads: make(map[string]dispatch.Load, len(m.Loads)), Waiting: m.Waiting, Unreachable: m.Unreachable},
-		Leaving:  m.Leaving,
+		Table:      m.Table,
+		Endpoints:  m.Endpoints,
+		Ineligible: m.Ineligible,
+		Dispatch:   dispatch.Report{Domain: m.Domain, Loads: make(map[string]dispatch.Load, len(m.Loads)), Waiting: m.Waiting, Unreachable: m.Unreachable},
+		Leaving:    m.Leaving,
+		Partial:    m.Partial,
 	}
 	for id, h := range m.Loads {
 		res.Dispatch.Loads[id] = dispatch.Load{Requests: h[0], Prompt: h[1]}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damasktrail.dev"
+	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/routing"
 	"damasktrail.dev/suspect"
@@ -222,9 +223,9 @@
 }
 
 // acquire waits for a slot at an endpoint.
-func (c *call) acquire(ctx context.Context) (*dispatch.Grant, *statusError) {
+func (c *call) acquire(ctx context.Context) (*coordinator.Slot, *statusError) {
 	now := c.g.clock.Now()
-	grant, refusal := c.g.scheduler.Acquire(ctx, dispatch.Request{
+	grant, refusal := c.g.slots.Acquire(ctx, dispatch.Request{
 		Service:      c.serviceName,
 		Engine:       c.service.Engine,
 		Organisation: c.organisation.Name,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/budget"
 	"damasktrail.dev/catalog"
+	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/exchange"
 	"damasktrail.dev/group"
@@ -58,15 +58,19 @@
 
 // Gateway serves callers. It is safe for use by several goroutines.
 type Gateway struct {
-	settings        Settings
-	dialect         damasktrail.Dialect
-	clock           damasktrail.Clock
-	tasks           *group.Group
-	log             *slog.Logger
-	metrics         *telemetry.Metrics
-	catalog         *catalog.Catalog
-	scheduler       *dispatch.Scheduler
-	exchange        *exchange.Exchange
+	settings  Settings
+	dialect   damasktrail.Dialect
+	clock     damasktrail.Clock
+	tasks     *group.Group
+	log       *slog.Logger
+	metrics   *telemetry.Metrics
+	catalog   *catalog.Catalog
+	scheduler *dispatch.Scheduler
+	exchange  *exchange.Exchange
+	// slots gets slots from the coordinators of the fleet, slotServer grants those of
+	// scheduler to other entries.
+	slots           *coordinator.Client
+	slotServer      *coordinator.Server
 	quotas          *quota.Ledger
 	pool            *upstream.Pool
 	callerServer    *http.Server
@@ -110,9 +114,12 @@
 		retryShares:  map[string]*budget.Share{},
 	}
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
-	g.catalog = catalog.New(directory, clock, uptime, g.rank, log, g.applySnapshot)
+	g.catalog = catalog.New(directory, clock, uptime, catalogFleet{g}, log, g.applySnapshot)
 	g.scheduler = dispatch.New(clock, s.Name, s.Domain, func(urgent bool) { g.exchange.Changed(urgent) })
-	g.exchange, err = exchange.New(s.Name, s.Domain, s.Peers, s.Seeds, boot, exchangeHandler{g}, clock, uptime, log)
+	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, clock, log)
+	g.slotServer = coordinator.NewServer(g.scheduler, clock, tasks, log, func(client string, datagram []byte) { g.exchange.Send(client, datagram) })
+	self := coordinator.Member{Name: s.Name, Domain: s.Domain, Millicores: s.Millicores}
+	g.exchange, err = exchange.New(self, s.Peers, s.Seeds, boot, exchangeHandler{g}, clock, uptime, log)
 	if err != nil {
 		return nil, err
 	}
@@ -151,10 +158,11 @@
 	}
 	g.catalog.Start(g.tasks)
 	g.exchange.Start(g.tasks)
-	cancel := g.clock.Subscribe(housekeepingInterval, g.tick)
+	cancel, cancelHoldings := g.clock.Subscribe(housekeepingInterval, g.tick), g.slots.Start()
 	g.tasks.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		cancel()
+		cancelHoldings()
 	})
 	g.log.Info("started", "name", g.settings.Name, "domain", g.settings.Domain, "callers", g.settings.Callers, "peers", g.settings.Peers,
 		"seeds", g.settings.Seeds, "directory", g.settings.Directory, "authenticated", false)
@@ -234,7 +242,7 @@
 func (g *Gateway) Drain(ctx context.Context) {
 	start := g.clock.Now()
 	g.drainStart.Store(&start)
-	g.exchange.Changed(true)
+	g.exchange.Announce()
 	g.log.Info("shutting down", "open", g.openRequests.Load(), "grace", g.settings.Grace)
 	end := start.Add(g.settings.Grace - exitMargin)
 	for now := start; now.Before(end) && ctx.Err() == nil; now = g.clock.Now() {
@@ -293,80 +301,3 @@
 const minEntries = 3
 
 func (g *Gateway) entryCount() int { return max(minEntries, 1+len(g.exchange.Peers())) }
-
-// rank returns the index of this entry among the live entries, sorted by name.
-func (g *Gateway) rank() int {
-	index, _ := slices.BinarySearch(g.exchange.Peers(), g.settings.Name)
-	return index
-}
-
-// exchangeHandler connects the exchange with the components of the gateway.
-type exchangeHandler struct{ g *Gateway }
-
-var _ exchange.Handler = exchangeHandler{}
-
-// State implements exchange.Handler.
-func (h exchangeHandler) State() exchange.State {
-	g := h.g
-	res := exchange.State{Dispatch: g.scheduler.Report(), Leaving: g.drainStart.Load() != nil}
-	if t := g.catalog.Snapshot().Table; t != nil {
-		res.Table = t.Version
-	}
-	return res
-}
-
-// Summary implements exchange.Handler.
-func (h exchangeHandler) Summary(suspects int) exchange.Summary {
-	g := h.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return exchange.Summary{Usage: g.quotas.Usage(), Suspects: g.suspects.Sample(g.clock.Now(), suspects)}
-}
-
-// ReceiveState implements exchange.Handler.
-func (h exchangeHandler) ReceiveState(peer exchange.Peer, s exchange.State) {
-	h.g.catalog.Hint(s.Table)
-	h.g.scheduler.SetPeer(peer.Name, s.Dispatch)
-}
-
-// ReceiveSummary implements exchange.Handler.
-func (h exchangeHandler) ReceiveSummary(peer exchange.Peer, s exchange.Summary) {
-	g := h.g
-	g.quotas.SetPeerUsage(peer.String(), s.Usage, g.clock.Now())
-	if len(s.Suspects) == 0 {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.suspects.Merge(s.Suspects, g.clock.Now())
-}
-
-// Confirmed implements exchange.Handler.
-func (h exchangeHandler) Confirmed() (table uint64, age time.Duration) {
-	return h.g.catalog.Confirmed()
-}
-
-// Confirm implements exchange.Handler.
-func (h exchangeHandler) Confirm(table uint64, at time.Duration) { h.g.catalog.Confirm(table, at) }
-
-// PeerSilent implements exchange.Handler.
-func (h exchangeHandler) PeerSilent(peer exchange.Peer) {
-	h.g.scheduler.SetPeer(peer.Name, dispatch.Report{})
-}
-
-// ForgetPeer implements exchange.Handler.
-func (h exchangeHandler) ForgetPeer(peer exchange.Peer) {
-	h.g.scheduler.SetPeer(peer.Name, dispatch.Report{})
-	h.g.quotas.RemovePeer(peer.String())
-}
-
-// PeersChanged implements exchange.Handler.
-func (h exchangeHandler) PeersChanged() {
-	g := h.g
-	entries := g.entryCount()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.retryShares {
-		s.SetEntries(entries)
-	}
-}
--- a/gateway/operations_test.go
+++ b/gateway/operations_test.go
@@ -20,7 +20,7 @@
 		regexp.MustCompile(`\.(?:Count|Latency|Gauge)\("([^"]+)"`),
 	}
 	found := 0
-	for _, dir := range []string{"../gateway", "../catalog", "../exchange", "../cmd/gateway"} {
+	for _, dir := range []string{"../gateway", "../catalog", "../exchange", "../coordinator", "../cmd/gateway"} {
 		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 		require.NoError(t, err)
 		for _, file := range files {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"damasktrail.dev/dispatch"
+	"damasktrail.dev/coordinator"
 	"damasktrail.dev/routing"
 	"damasktrail.dev/upstream"
 )
@@ -40,7 +40,7 @@
 // forward relays one answer. It returns nil when the complete answer was relayed,
 // errCallerGone when the caller left, and another error when the answer was cut
 // off.
-func (r *relay) forward(a *upstream.Answer, grant *dispatch.Grant) error {
+func (r *relay) forward(a *upstream.Answer, grant *coordinator.Slot) error {
 	r.attemptEvents = 0
 	if r.call.route.Kind == routing.Streaming && a.Status == http.StatusOK {
 		return r.forwardStream(a, grant)
@@ -52,7 +52,7 @@
 }
 
 // forwardBody relays an answer that is not an event stream.
-func (r *relay) forwardBody(a *upstream.Answer, grant *dispatch.Grant) error {
+func (r *relay) forwardBody(a *upstream.Answer, grant *coordinator.Slot) error {
 	prefix, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
 	if err != nil {
 		return err
@@ -85,7 +85,7 @@
 }
 
 // forwardStream relays an event stream, complete events only.
-func (r *relay) forwardStream(a *upstream.Answer, grant *dispatch.Grant) error {
+func (r *relay) forwardStream(a *upstream.Answer, grant *coordinator.Slot) error {
 	s := newEventReader(a)
 	control := http.NewResponseController(r.writer)
 	for {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"damasktrail.dev"
+	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/upstream"
@@ -88,10 +89,10 @@
 }
 
 // send sends the request to the endpoint of the grant.
-func (c *call) send(ctx context.Context, grant *dispatch.Grant, lastEventID string) (*upstream.Answer, error) {
+func (c *call) send(ctx context.Context, grant *coordinator.Slot, lastEventID string) (*upstream.Answer, error) {
 	g := c.g
 	c.endpoint = grant.Endpoint.ID
-	g.log.InfoContext(telemetry.Routine, "request sent", "id", c.fields.ID, "endpoint", c.endpoint, "address", grant.Endpoint.Address, "send", c.sends+1, "wait", c.waitTime,
+	g.log.InfoContext(telemetry.Routine, "request sent", "id", c.fields.ID, "endpoint", c.endpoint, "coordinator", grant.Coordinator, "address", grant.Endpoint.Address, "send", c.sends+1, "wait", c.waitTime,
 		"own", grant.Choice.Own, "peers", grant.Choice.Peers, "pace", grant.Choice.Pace, "free", grant.Choice.Free, "after", lastEventID)
 	header := g.dialect.Forward(c.request.Header, damasktrail.Dispatch{
 		Endpoint:     grant.Endpoint.ID,
@@ -119,7 +120,7 @@
 
 // handleAnswer relays an answer. It reports whether the request is to be sent
 // again; otherwise the error, if any, says why the answer was not relayed.
-func (c *call) handleAnswer(ctx context.Context, grant *dispatch.Grant, a *upstream.Answer, out *relay) (again bool, st *statusError) {
+func (c *call) handleAnswer(ctx context.Context, grant *coordinator.Slot, a *upstream.Answer, out *relay) (again bool, st *statusError) {
 	defer a.Close()
 	fields := c.g.dialect.Answer(a.Status, a.Header)
 	if fields.NotRun {
@@ -153,7 +154,7 @@
 }
 
 // handleNotRun handles an endpoint's answer that it did not run the request.
-func (c *call) handleNotRun(grant *dispatch.Grant, a *upstream.Answer) (again bool, st *statusError) {
+func (c *call) handleNotRun(grant *coordinator.Slot, a *upstream.Answer) (again bool, st *statusError) {
 	_, _ = io.Copy(io.Discard, a)
 	result, reason := dispatch.Full, damasktrail.ReasonFull
 	if a.Status == http.StatusMisdirectedRequest {
@@ -172,7 +173,7 @@
 
 // handleLost handles an attempt that ended without a complete answer, and reports
 // whether the request is to be sent again.
-func (c *call) handleLost(ctx context.Context, grant *dispatch.Grant, err error) bool {
+func (c *call) handleLost(ctx context.Context, grant *coordinator.Slot, err error) bool {
 	if ctx.Err() != nil {
 		grant.Done(dispatch.Cancelled, 0)
 		return false
@@ -192,7 +193,7 @@
 	return c.sends < c.route.Attempts && c.g.retryShare(c.serviceName).Take()
 }
 
-func (c *call) recordRetry(grant *dispatch.Grant, reason damasktrail.Reason, err error) {
+func (c *call) recordRetry(grant *coordinator.Slot, reason damasktrail.Reason, err error) {
 	c.avoid = grant.Endpoint.ID
 	c.g.metrics.Retried(reason)
 	c.g.log.Info("request sent again", "id", c.fields.ID, "endpoint", grant.Endpoint.ID, "reason", reason, "sends", c.sends, "attempts", c.route.Attempts, "error", err)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -28,6 +28,9 @@
 	Seeds []string
 	// Directory is the address of the directory.
 	Directory string
+	// Millicores is the part of a processor that the process may use, in thousandths;
+	// zero when it is not known.
+	Millicores int
 	// MemoryBytes is the memory limit of the process in bytes; zero when there is none.
 	MemoryBytes int64
 	// Grace is the time between SIGTERM and SIGKILL.
