Do not keep endpoints that have left for an entry that only itself was turned away

Endpoints cannot lapse in an outage that only one entry has had. Change: such an entry drops missing endpoints at once (test fails without it). Entries that need not follow the directory pause for up to 1.6 s between failed reads.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -54,9 +54,9 @@
 	// idleCheckInterval is the time between checks whether this entry must follow the
 	// directory itself.
 	idleCheckInterval = 50 * time.Millisecond
-	// idleRetryDelay is the pause between two reads after a failure while this entry
-	// need not follow the directory.
-	idleRetryDelay = time.Second
+	// maxIdleBackoff replaces maxBackoff while this entry need not follow the
+	// directory.
+	maxIdleBackoff = 1600 * time.Millisecond
 	// maxBehind is how long the list of endpoints may be older than that of a peer
 	// before a watch is taken for deaf.
 	maxBehind = 400 * time.Millisecond
@@ -252,7 +252,7 @@
 		case errors.Is(err, damasktrail.ErrUnchanged):
 			f.succeeded(f.revision)
 		default:
-			f.failed(ctx, err)
+			f.failed(ctx, err, c.longestBackoff())
 		}
 	}
 }
@@ -272,6 +272,14 @@
 	})
 }
 
+// longestBackoff returns the longest pause between two failed reads.
+func (c *Catalog) longestBackoff() time.Duration {
+	if c.fleet.Follows() {
+		return maxBackoff
+	}
+	return maxIdleBackoff
+}
+
 // idle waits for a request to read the whole value, or for idleCheckInterval.
 func (c *Catalog) idle(ctx context.Context, reread <-chan struct{}) error {
 	select {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -334,6 +334,30 @@
 	})
 }
 
+// Guards against an endpoint that has left and stays in the list of an entry that the
+// directory had turned away while it answered others: in a simulated day such an entry
+// became a coordinator again and granted a slot of an endpoint 5 s after it had begun
+// to leave. After an outage for all, an endpoint that is missing may return.
+func TestMissingAfterOwnOutage(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		d := &fakeDirectory{list: fleet.Of(fleet.Endpoint{ID: "a", Slots: 1})}
+		runCatalog(t, d, func(c *catalog.Catalog) {
+			d.update(func() {
+				d.err = errDown
+				d.list = fleet.List{}
+			})
+			time.Sleep(500 * time.Millisecond)
+			if confirmed {
+				c.Confirm(1, time.Hour+400*time.Millisecond)
+			}
+			d.update(func() { d.err = nil })
+			time.Sleep(500 * time.Millisecond)
+			_, found := c.Snapshot().Endpoints.Find("a")
+			require.Equal(t, !confirmed, found)
+		})
+	}
+}
+
 // Guards against a watch of the endpoints that misses a change without an error: a
 // peer that knows the change makes the catalog read the list.
 func TestHintEndpoints(t *testing.T) {
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -28,10 +28,7 @@
 		case f.failures > 0:
 			c.endpointsFailedAt.CompareAndSwap(0, max(1, int64(c.uptime())))
 		}
-		switch {
-		case idle && err != nil:
-			_ = c.clock.Sleep(ctx, idleRetryDelay)
-		case changed:
+		if changed {
 			_ = c.clock.Sleep(ctx, endpointsWatchDelay)
 		}
 	}
@@ -43,10 +40,11 @@
 	if f.needsFullRead() {
 		news, err := c.directory.Endpoints(ctx)
 		if err != nil {
-			f.failed(ctx, err)
+			f.failed(ctx, err, c.longestBackoff())
 			return false, err
 		}
-		c.replace(news, f.outage, c.clock.Now())
+		// An endpoint cannot have lapsed in an outage that only this entry has had.
+		c.replace(news, f.outage && !c.EndpointsStale(), c.clock.Now())
 		c.endpointsChanged.Store(max(c.endpointsChanged.Load(), news.Changed))
 		f.succeeded(news.Revision)
 		return false, nil
@@ -63,7 +61,7 @@
 		c.expire(c.clock.Now())
 		f.succeeded(f.revision)
 	default:
-		f.failed(ctx, err)
+		f.failed(ctx, err, c.longestBackoff())
 	}
 	return err == nil, err
 }
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -48,9 +48,9 @@
 	f.revision = max(f.revision, revision)
 }
 
-// failed records a failed call and waits for the backoff. Hints from peers with a
+// failed records a failed call and waits for the backoff, up to the given one. Hints from peers with a
 // newer table do not shorten the wait, because they arrive many times a second.
-func (f *follower) failed(ctx context.Context, err error) {
+func (f *follower) failed(ctx context.Context, err error, longest time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -67,6 +67,6 @@
 	if f.failures == 1 {
 		f.log.Warn("directory does not answer", "topic", f.topic, "error", err)
 	}
-	delay := min(minBackoff<<min(f.failures-1, 10), maxBackoff)
+	delay := min(minBackoff<<min(f.failures-1, 10), longest)
 	_ = f.clock.Sleep(ctx, delay)
 }
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"damasktrail.dev"
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/fleet"
@@ -193,7 +194,10 @@
 // outcomes counts what callers get and what engines see.
 type outcomes struct {
 	asked, inTime, refused [3]int
-	sent, foundFull        int
+	// late has the requests that were answered after their objective, returned those
+	// that came back after a refusal.
+	late, returned  [3]int
+	sent, foundFull int
 	// maxOver is the largest number of requests at one engine beyond its slots, and
 	// overSince the time of the last one.
 	maxOver  int
@@ -203,7 +207,11 @@
 	left int
 }
 
-const slotsPerEngine = 4
+const (
+	slotsPerEngine = 4
+	// callerTimeout is how long a caller waits for an answer.
+	callerTimeout = 10 * time.Second
+)
 
 // kinds are the requests of the large site by tier: share, objective, time in a slot
 // of a fast engine.
@@ -252,11 +260,18 @@
 			length := 0.3 + random.ExpFloat64()*0.7
 			requests.Go(func(ctx context.Context) {
 				start := time.Now()
-				s, refused := p.client.Acquire(ctx, dispatch.Request{
-					Service: "llm", Engine: true, Organisation: "o", Tier: tier, Objective: kinds[tier].objective, Timeout: 10 * time.Second, Prompt: 2000,
-				})
+				s, refused := p.acquire(ctx, tier, start)
+				returned := refused != nil
+				if returned {
+					// Callers come back once, at the latest after a third of their time.
+					time.Sleep(min(refused.RetryAfter, callerTimeout/3))
+					s, refused = p.acquire(ctx, tier, start)
+				}
 				mu.Lock()
 				res.asked[tier]++
+				if returned {
+					res.returned[tier]++
+				}
 				if refused != nil {
 					res.refused[tier]++
 					mu.Unlock()
@@ -274,11 +289,13 @@
 				e.slots <- struct{}{}
 				time.Sleep(time.Duration(e.slowdown * float64(100*time.Millisecond)))
 				s.Started()
+				mu.Lock()
 				if time.Since(start) <= kinds[tier].objective {
-					mu.Lock()
 					res.inTime[tier]++
-					mu.Unlock()
+				} else {
+					res.late[tier]++
 				}
+				mu.Unlock()
 				time.Sleep(time.Duration(length * e.slowdown * float64(kinds[tier].hold)))
 				<-e.slots
 				mu.Lock()
@@ -301,4 +318,11 @@
 	return res
 }
 
+// acquire asks for a slot for a request that its caller first sent at start.
+func (p *node) acquire(ctx context.Context, tier int, start time.Time) (*coordinator.Slot, *damasktrail.Refusal) {
+	return p.client.Acquire(ctx, dispatch.Request{
+		Service: "llm", Engine: true, Organisation: "o", Tier: tier, Objective: kinds[tier].objective, Timeout: callerTimeout - time.Since(start), Prompt: 2000,
+	})
+}
+
 func domainName(i int) string { return "d" + string(rune('0'+i)) }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -132,7 +131,7 @@
 		return c.handleLost(ctx, grant, err), c.unknownOutcome(ctx, err)
 	}
 	if a.Status >= http.StatusInternalServerError && !out.headerSent && c.route.Repeatable() && c.takeRetry() {
-		_, _ = io.Copy(io.Discard, a)
+		a.Discard()
 		grant.Done(dispatch.Failed, 0)
 		c.recordRetry(grant, damasktrail.ReasonCrashed, nil)
 		return true, nil
@@ -155,7 +154,7 @@
 
 // handleNotRun handles an endpoint's answer that it did not run the request.
 func (c *call) handleNotRun(grant *coordinator.Slot, a *upstream.Answer) (again bool, st *statusError) {
-	_, _ = io.Copy(io.Discard, a)
+	a.Discard()
 	result, reason := dispatch.Full, damasktrail.ReasonFull
 	if a.Status == http.StatusMisdirectedRequest {
 		result, reason = dispatch.Broken, damasktrail.ReasonMismatch
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -27,16 +27,47 @@
 	// responses to other requests and informational (1xx) responses.
 	maxResponses    = 4
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of one response: its status line and header.
+	maxHeadBytes = 32 << 10
+	// maxDiscardBytes and maxDiscardTime bound what is read of a body that nobody
+	// gets, so that its connection can be used again.
+	maxDiscardBytes = 64 << 10
+	maxDiscardTime  = 100 * time.Millisecond
 )
 
 // errMismatch reports that no response on the connection matched the request.
 var errMismatch = errors.New("answers belong to other requests")
 
+// ErrTooLong reports that an endpoint sent more bytes than an answer may have at that
+// place.
+var ErrTooLong = errors.New("endpoint sends more bytes than an answer may have")
+
+// boundedReader fails with ErrTooLong when more than left bytes are read. A negative
+// value is no bound.
+type boundedReader struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return b.reader.Read(p)
+	}
+	if b.left == 0 {
+		return 0, ErrTooLong
+	}
+	n, err := b.reader.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
 	pool    *Pool
 	key     key
 	tcp     *net.TCPConn
+	bound   *boundedReader
 	reader  *bufio.Reader
 	expires time.Time
 	// sent reports whether any byte of the current request may have been sent.
@@ -45,7 +76,8 @@
 }
 
 func newConn(p *Pool, k key, tcp *net.TCPConn) *conn {
-	return &conn{pool: p, key: k, tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes)}
+	bound := &boundedReader{reader: tcp, left: -1}
+	return &conn{pool: p, key: k, tcp: tcp, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes)}
 }
 
 func (c *conn) close() {
@@ -131,7 +163,9 @@
 func (c *conn) response(call Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
 	for range maxResponses {
+		c.bound.left = maxHeadBytes
 		res, err := http.ReadResponse(c.reader, request)
+		c.bound.left = -1
 		if err != nil {
 			return nil, err
 		}
@@ -144,13 +178,28 @@
 		if res.Close {
 			return nil, errMismatch
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		if err := c.discard(res.Body); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errMismatch
 }
 
+// discard reads the rest of a body, at most maxDiscardBytes for maxDiscardTime.
+func (c *conn) discard(body io.Reader) error {
+	if err := c.tcp.SetReadDeadline(c.pool.clock.Now().Add(maxDiscardTime)); err != nil {
+		return err
+	}
+	n, err := io.CopyN(io.Discard, body, maxDiscardBytes+1)
+	if n > maxDiscardBytes {
+		return ErrTooLong
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	return c.tcp.SetReadDeadline(time.Time{})
+}
+
 // hopByHopFields are the header fields that apply to a single connection and
 // are not forwarded.
 var hopByHopFields = map[string]bool{
@@ -219,6 +268,13 @@
 	return n, err
 }
 
+// Discard reads the rest of the body, so that the connection can be used again. It
+// gives up when the rest is long or late.
+func (a *Answer) Discard() {
+	// A rest that is not read completely makes Close close the connection.
+	a.complete = a.conn.discard(a.response.Body) == nil
+}
+
 // Close returns the connection to the pool if the request was written and the
 // response was read completely, and closes it otherwise.
 func (a *Answer) Close() {
