Release slots whose grant and withdrawal were both lost, and forget loads of peers that send none

Cause: TestLostMessages left one slot taken in one run under the race detector. A client lists its slots to a coordinator for two seconds after the last list that was not empty; an ask that began and ended between two lists was in none, so a coordinator whose grant and the withdrawal were lost kept the slot for good. Found by the new TestLargeFleet: an entry kept the loads that peers had reported while the fleet was small. Change: lists go to each coordinator that was used in the last two seconds. Reports without loads replace earlier ones. Metrics coordinator and members. Result: TestLostWithdrawal fails without it; TestLargeFleet has 40 exchanges on loopback: all hear all, elect the same four, and replace one that is lost.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -25,9 +25,10 @@
 	unresponsiveTime = time.Second
 	// holdingsInterval is the time between two lists of holdings.
 	holdingsInterval = 200 * time.Millisecond
-	// emptyHoldingsTime is how long a coordinator gets empty lists after the last slot
-	// was given back. The messages that gave it back and a few lists may be lost, and
-	// a slot must be older than minHoldingAge to be released by a list.
+	// emptyHoldingsTime is how long a coordinator gets lists, also empty ones, after
+	// the last ask was made, withdrawn or its slot given back. The message that did so
+	// and a few lists may be lost, and a slot must be older than minHoldingAge to be
+	// released by a list.
 	emptyHoldingsTime = 2 * time.Second
 )
 
@@ -63,9 +64,9 @@
 	held    map[uint64]*Slot
 	// unresponsive has the time until which a coordinator is asked last.
 	unresponsive map[string]time.Time
-	// listed has the time of the last list of holdings that was not empty, by
-	// coordinator.
-	listed map[string]time.Time
+	// lastUse has the time at which an ask or slot at a coordinator last began or
+	// ended, by the name of the coordinator.
+	lastUse map[string]time.Time
 }
 
 // waitingAsk is an ask at a coordinator.
@@ -100,7 +101,7 @@
 func NewClient(name string, boot uint64, fleet Fleet, local Scheduler, clock damasktrail.Clock, log *slog.Logger) *Client {
 	return &Client{
 		name: name, boot: boot, fleet: fleet, local: local, clock: clock, log: log,
-		waiting: map[uint64]*waitingAsk{}, held: map[uint64]*Slot{}, unresponsive: map[string]time.Time{}, listed: map[string]time.Time{},
+		waiting: map[uint64]*waitingAsk{}, held: map[uint64]*Slot{}, unresponsive: map[string]time.Time{}, lastUse: map[string]time.Time{},
 	}
 }
 
@@ -154,6 +155,7 @@
 	c.lastID++
 	id := c.lastID
 	c.waiting[id] = w
+	c.lastUse[name] = c.clock.Now()
 	c.mu.Unlock()
 	defer func() {
 		if s == nil {
@@ -216,6 +218,7 @@
 func (c *Client) withdraw(id uint64, coordinator string, refused bool) {
 	c.mu.Lock()
 	delete(c.waiting, id)
+	c.lastUse[coordinator] = c.clock.Now()
 	c.mu.Unlock()
 	if !refused {
 		c.send(coordinator, message{Kind: kindCancelled, Boot: c.boot, ID: id})
@@ -250,20 +253,20 @@
 	}
 }
 
-// sendHoldings lists the asks and slots at each coordinator for it. A coordinator at
-// which the entry has nothing left gets empty lists for emptyHoldingsTime.
+// sendHoldings lists the asks and slots at each coordinator for it, and sends empty
+// lists to those that were used in the last emptyHoldingsTime.
 func (c *Client) sendHoldings(now time.Time) {
 	c.mu.Lock()
-	lists := make(map[string]*message, len(c.listed))
+	lists := make(map[string]*message, len(c.lastUse))
 	list := func(name string) *message {
 		if lists[name] == nil {
 			lists[name] = &message{Kind: kindHoldings, Boot: c.boot}
 		}
 		return lists[name]
 	}
-	for name, at := range c.listed {
+	for name, at := range c.lastUse {
 		if now.Sub(at) > emptyHoldingsTime {
-			delete(c.listed, name)
+			delete(c.lastUse, name)
 			continue
 		}
 		list(name)
@@ -276,11 +279,6 @@
 		m := list(s.Coordinator)
 		m.Held = append(m.Held, id)
 	}
-	for name, m := range lists {
-		if len(m.Waiting)+len(m.Held) > 0 {
-			c.listed[name] = now
-		}
-	}
 	c.mu.Unlock()
 	for name, m := range lists {
 		c.send(name, *m)
@@ -347,6 +345,7 @@
 	done := s.done
 	s.done = true
 	delete(c.held, s.id)
+	c.lastUse[s.Coordinator] = c.clock.Now()
 	c.mu.Unlock()
 	if !done {
 		c.send(s.Coordinator, message{Kind: kindDone, Boot: c.boot, ID: s.id, Result: result, PaceNanos: int64(pace)})
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -25,7 +25,10 @@
 	clock *timer.Clock
 	loss  float64
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// deliver says which datagrams arrive, by the names of sender and receiver; nil
+	// for all.
+	deliver  func(from, to string) bool
 	random   *rand.Rand
 	election coordinator.Election
 	nodes    map[string]*node
@@ -100,6 +103,12 @@
 	}
 }
 
+func (n *network) setDeliver(deliver func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deliver = deliver
+}
+
 func (n *network) isDown(p *node) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -158,7 +167,7 @@
 	n := p.network
 	n.mu.Lock()
 	to := n.nodes[name]
-	lost := p.down || to == nil || n.random.Float64() < n.loss
+	lost := p.down || to == nil || n.random.Float64() < n.loss || n.deliver != nil && !n.deliver(p.Name, name)
 	n.mu.Unlock()
 	if lost {
 		return
--- a/coordinator/load_test.go
+++ b/coordinator/load_test.go
@@ -1,10 +1,15 @@
 package coordinator_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/dispatch"
+	"damasktrail.dev/fleet"
 )
 
 // maxCollisions is the number of requests beyond the slots of an engine that five
@@ -56,3 +61,28 @@
 	require.Less(t, got.foundFull, got.sent/20)
 	require.Zero(t, got.left, "slots that nobody holds")
 }
+
+// Guards against a slot that stays taken when the grant, the withdrawal of the ask and
+// everything in between is lost: the client then listed nothing to that coordinator,
+// which kept the slot for good.
+func TestLostWithdrawal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := members(3, 8)
+		n := newNetwork(m, fleet.Of(fleet.Endpoint{ID: "e", Service: "llm", Domain: "d0", Slots: 4}), 0)
+		defer n.close()
+		client, server := n.nodes["entry-0-01"], n.nodes["entry-0-00"]
+		n.deliver = func(from, to string) bool { return from != server.Name || to != client.Name }
+		ctx, cancel := context.WithCancel(context.Background())
+		n.clock.Schedule(20*time.Millisecond, func(time.Time) {
+			n.setDeliver(func(from, _ string) bool { return from != client.Name })
+			cancel()
+		})
+		_, refused := client.client.Acquire(ctx, dispatch.Request{Service: "llm", Engine: true, Objective: time.Second, Timeout: 10 * time.Second})
+		require.NotNil(t, refused)
+		require.NotEmpty(t, server.scheduler.Report().Loads, "the slot is granted")
+		time.Sleep(100 * time.Millisecond)
+		n.setDeliver(nil)
+		time.Sleep(time.Second)
+		require.Empty(t, server.scheduler.Report().Loads)
+	})
+}
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -29,6 +29,10 @@
 func (s *Scheduler) SetPeer(name string, r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	empty := len(r.Loads)+len(r.Waiting)+len(r.Unreachable) == 0
+	if _, found := s.peers[name]; empty && !found {
+		return
+	}
 	for id, h := range s.peers[name].Loads {
 		s.addPeerLoad(id, Load{Requests: -h.Requests, Prompt: -h.Prompt})
 	}
@@ -36,7 +40,7 @@
 		s.addPeerLoad(id, h)
 	}
 	s.backOffUnreachable(s.peers[name].Unreachable, r.Unreachable)
-	if len(r.Loads)+len(r.Waiting)+len(r.Unreachable) == 0 {
+	if empty {
 		delete(s.peers, name)
 	} else {
 		s.peers[name] = r
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -132,10 +133,14 @@
 }
 
 func start(t *testing.T, name, address string, seeds ...string) *node {
+	t.Helper()
+	return startMember(t, coordinator.Member{Name: name, Domain: "d"}, &fakeHandler{}, address, seeds...)
+}
+
+func startMember(t *testing.T, self coordinator.Member, h *fakeHandler, address string, seeds ...string) *node {
 	t.Helper()
 	tasks := group.New(context.Background())
-	h := &fakeHandler{}
-	x, err := exchange.New(coordinator.Member{Name: name, Domain: "d"}, address, seeds, 1, h, timer.New(tasks), timer.Uptime, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	x, err := exchange.New(self, address, seeds, 1, h, timer.New(tasks), timer.Uptime, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	x.Start(tasks)
 	t.Cleanup(tasks.Close)
@@ -188,6 +193,61 @@
 	require.Equal(t, quota.Usage{"o": 2}, a.handler.summaries["c/1"].Usage)
 }
 
+// Guards against entries of a large fleet that do not hear of some others: when each
+// reported to 32 of 67 peers, an organisation got more than its quota. Guards also
+// against different coordinators in the eyes of different entries, and against
+// coordinators that do not hear the loads of others.
+func TestLargeFleet(t *testing.T) {
+	const size, domains = 40, 4
+	seed := freeAddress(t)
+	nodes := make([]*node, size)
+	for i := range nodes {
+		name, address := fmt.Sprintf("entry-%02d", i), freeAddress(t)
+		if i == 0 {
+			address = seed
+		}
+		h := &fakeHandler{state: exchange.State{Table: 7, Dispatch: dispatch.Report{Loads: map[string]dispatch.Load{"e": {Requests: 1}}}}}
+		h.summary = exchange.Summary{Usage: quota.Usage{"o": 1}}
+		self := coordinator.Member{Name: name, Domain: fmt.Sprint("d", i%domains), Millicores: 1000 - i}
+		nodes[i] = startMember(t, self, h, address, seed)
+	}
+	usage := func(n *node) (sum float64) {
+		n.handler.mu.Lock()
+		defer n.handler.mu.Unlock()
+		for _, s := range n.handler.summaries {
+			sum += s.Usage["o"]
+		}
+		return sum
+	}
+	for i, n := range nodes {
+		require.Eventually(t, func() bool { return len(n.Peers()) == size-1 && usage(n) == size-1 }, 15*time.Second, 20*time.Millisecond, "entry %d", i)
+	}
+	want := []string{"entry-00", "entry-01", "entry-02", "entry-03"}
+	for i, n := range nodes {
+		require.Eventually(t, func() bool { return slices.Equal(want, n.Election().Coordinators()) }, 5*time.Second, 20*time.Millisecond, "entry %d", i)
+	}
+	// A coordinator hears the loads of all, an entry those of no other domain.
+	time.Sleep(time.Second)
+	require.Equal(t, size-1, nodes[0].handler.heldRequests())
+	require.Less(t, nodes[size-1].handler.heldRequests(), size/domains)
+	require.True(t, nodes[size-1].Available("entry-03"))
+	nodes[size-1].Send("entry-03", []byte{0x80})
+	require.Eventually(t, func() bool {
+		h := nodes[3].handler
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.datagrams) == 1 && h.datagrams[0] == "entry-39: \x80"
+	}, 5*time.Second, 10*time.Millisecond)
+	// The loss of a coordinator elects the next of its domain everywhere.
+	nodes[1].tasks.Close()
+	for i, n := range nodes {
+		if i == 1 {
+			continue
+		}
+		require.Eventually(t, func() bool { return n.Election().IsCoordinator("entry-05") && !n.Election().IsCoordinator("entry-01") }, 5*time.Second, 20*time.Millisecond, "entry %d", i)
+	}
+}
+
 // Guards against slots that stay taken by a peer after it has gone silent.
 func TestSilentPeer(t *testing.T) {
 	seed := freeAddress(t)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := errors.Join(
+		m.Gauge("coordinator", "1 while this gateway grants the slots of its failure domain to others, else 0.", g.coordinates),
+		m.Gauge("members", "Live gateways that this one knows, itself included.", func() float64 { return float64(1 + len(g.exchange.Peers())) }),
+	); err != nil {
+		return nil, err
+	}
 	g.callerServer = &http.Server{
 		Handler:           http.HandlerFunc(g.serve),
 		ReadHeaderTimeout: headerTimeout,
@@ -296,6 +302,14 @@
 	return s
 }
 
+// coordinates returns 1 if this entry grants slots to others, else 0.
+func (g *Gateway) coordinates() float64 {
+	if e := g.exchange.Election(); !e.IsEqual() && e.IsCoordinator(g.settings.Name) {
+		return 1
+	}
+	return 0
+}
+
 // minEntries is the least number of entries assumed, so that a new process does not
 // use the whole slack before it learns of its peers.
 const minEntries = 3
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -97,9 +97,8 @@
 	g := h.g
 	g.catalog.Hint(s.Table)
 	g.catalog.HintEndpoints(s.Endpoints)
-	if s.Partial {
-		return
-	}
+	// A peer that sends no loads has none for this entry; those of an earlier report,
+	// from when the fleet was small, are old.
 	s.Dispatch.Passive = !g.exchange.Election().IsCoordinator(peer.Name)
 	g.scheduler.SetPeer(peer.Name, s.Dispatch)
 }
