Tell an outage for all from one that only this entry has by calls that began after a peer was answered

Change: an entry counts as turned away when a call of its own fails that began after the directory had answered a peer. The check runs before the backoff, not after it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -106,14 +106,20 @@
 	// endpointsRevision is the revision up to which the list of endpoints is known,
 	// endpointsChanged that of its last change.
 	endpointsRevision, endpointsChanged atomic.Uint64
-	// endpointsFailedAt is the uptime, in nanoseconds, at which the directory stopped
-	// to answer reads of the endpoints; zero while it answers.
-	endpointsFailedAt atomic.Int64
+	// endpointsFailedAt is the uptime at the start of the first call for the endpoints
+	// that failed since one succeeded; zero when the last one has. It has one owner.
+	endpointsFailedAt time.Duration
+	// turnedAway says that the directory does not answer this entry although it answers
+	// a peer.
+	turnedAway atomic.Bool
+
+	// hintMu guards the fields up to mu.
+	hintMu sync.Mutex
 	// newestEndpoints is the highest revision of a change of the endpoints that a peer
-	// has, behindSince the time since which it is higher than endpointsRevision.
-	newestEndpoints uint64
-	behindSince     time.Time
-	hintMu          sync.Mutex
+	// has, behindSince the uptime since which it is higher than endpointsRevision, zero
+	// when it is not, and rereadAt the uptime of the next read for that reason.
+	newestEndpoints       uint64
+	behindSince, rereadAt time.Duration
 
 	// mu serialises updates of current and guards the fields below.
 	mu sync.Mutex
@@ -257,7 +263,7 @@
 		case errors.Is(err, damasktrail.ErrUnchanged):
 			f.succeeded(f.revision)
 		default:
-			f.failed(ctx, err, c.longestBackoff())
+			_ = c.clock.Sleep(ctx, f.failed(ctx, err, c.longestBackoff()))
 		}
 	}
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -328,6 +328,7 @@
 		time.Sleep(500 * time.Millisecond)
 		require.False(t, c.EndpointsStale(), "nobody reads a newer list")
 		c.Confirm(1, time.Hour+400*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 		require.True(t, c.EndpointsStale(), "the directory answers a peer")
 		d.update(func() { d.err = nil })
 		time.Sleep(time.Second)
@@ -351,6 +352,7 @@
 			if confirmed {
 				c.Confirm(1, time.Hour+400*time.Millisecond)
 			}
+			time.Sleep(500 * time.Millisecond)
 			d.update(func() { d.err = nil })
 			time.Sleep(500 * time.Millisecond)
 			_, found := c.Snapshot().Endpoints.Find("a")
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -20,17 +20,18 @@
 			_ = c.clock.Sleep(ctx, idleCheckInterval)
 			continue
 		}
+		start := c.uptime()
 		changed, err := c.updateEndpoints(ctx, &f)
-		c.endpointsRevision.Store(f.revision)
+		delay := time.Duration(0)
 		switch {
-		case err == nil, errors.Is(err, damasktrail.ErrUnchanged):
-			c.endpointsFailedAt.Store(0)
-		case f.failures > 0:
-			c.endpointsFailedAt.CompareAndSwap(0, max(1, int64(c.uptime())))
-		}
-		if changed {
-			_ = c.clock.Sleep(ctx, endpointsWatchDelay)
+		case changed:
+			delay = endpointsWatchDelay
+		case err != nil && !errors.Is(err, damasktrail.ErrUnchanged):
+			delay = f.failed(ctx, err, c.longestBackoff())
 		}
+		c.endpointsRevision.Store(f.revision)
+		c.recordEndpointsCall(start, &f, err)
+		_ = c.clock.Sleep(ctx, delay)
 	}
 }
 
@@ -40,11 +41,10 @@
 	if f.needsFullRead() {
 		news, err := c.readEndpoints(ctx, f)
 		if err != nil {
-			f.failed(ctx, err, c.longestBackoff())
 			return false, err
 		}
 		// An endpoint cannot have lapsed in an outage that only this entry has had.
-		c.replace(news, f.outage && !c.EndpointsStale(), c.clock.Now())
+		c.replace(news, f.outage && !c.turnedAway.Load(), c.clock.Now())
 		c.endpointsChanged.Store(max(c.endpointsChanged.Load(), news.Changed))
 		f.succeeded(news.Revision)
 		return false, nil
@@ -60,8 +60,6 @@
 	case errors.Is(err, damasktrail.ErrUnchanged):
 		c.expire(c.clock.Now())
 		f.succeeded(f.revision)
-	default:
-		f.failed(ctx, err, c.longestBackoff())
 	}
 	return err == nil, err
 }
@@ -97,34 +95,52 @@
 // HintEndpoints reports that a peer knows a change of the endpoints of that revision.
 // If the catalog still does not know it after maxBehind, the list is read at once.
 func (c *Catalog) HintEndpoints(revision uint64) {
-	now := c.clock.Now()
+	now := c.uptime()
 	c.hintMu.Lock()
 	defer c.hintMu.Unlock()
 	c.newestEndpoints = max(c.newestEndpoints, revision)
 	switch {
 	case c.newestEndpoints <= c.endpointsRevision.Load():
-		c.behindSince = time.Time{}
-	case c.behindSince.IsZero():
-		c.behindSince = now
-	case now.Sub(c.behindSince) > maxBehind:
-		c.behindSince = now
+		c.behindSince = 0
+	case c.behindSince == 0:
+		c.behindSince, c.rereadAt = now, now+maxBehind
+	case now > c.rereadAt:
+		c.rereadAt = now + maxBehind
 		signal(c.rereadEndpoints)
 	}
 }
 
 // EndpointsStale reports whether the directory does not answer this entry although
 // it answers a peer. The list of endpoints is then older than the peer's.
-func (c *Catalog) EndpointsStale() bool {
-	failedAt := c.endpointsFailedAt.Load()
-	if failedAt == 0 {
-		return false
-	}
-	if c.confirmedAt.Load() > failedAt+int64(confirmSlack) {
-		return true
+func (c *Catalog) EndpointsStale() bool { return c.turnedAway.Load() }
+
+// recordEndpointsCall records the outcome of a call that began at start. The directory
+// turns this entry away when a call fails that began after the directory had answered a
+// peer since the first failure. At the end of an outage for all, peers are answered
+// first too, but the next call of this entry succeeds.
+func (c *Catalog) recordEndpointsCall(start time.Duration, f *follower, err error) {
+	switch {
+	case err == nil, errors.Is(err, damasktrail.ErrUnchanged):
+		c.endpointsFailedAt = 0
+		c.turnedAway.Store(false)
+	case f.failures == 0:
+	case c.endpointsFailedAt == 0:
+		c.endpointsFailedAt = start
+	default:
+		confirmedAt := time.Duration(c.confirmedAt.Load())
+		answersPeers := confirmedAt > c.endpointsFailedAt+confirmSlack && confirmedAt < start
+		if answersPeers || c.isBehind(start) {
+			c.turnedAway.Store(true)
+		}
 	}
+}
+
+// isBehind reports whether a peer has known a newer list since before the given
+// uptime.
+func (c *Catalog) isBehind(at time.Duration) bool {
 	c.hintMu.Lock()
 	defer c.hintMu.Unlock()
-	return c.newestEndpoints > c.endpointsRevision.Load()
+	return c.newestEndpoints > c.endpointsRevision.Load() && c.behindSince != 0 && c.behindSince < at
 }
 
 // watchEndpoints waits for changes of the endpoints. While endpoints are missing,
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -52,26 +52,26 @@
 	f.revision = max(f.revision, revision)
 }
 
-// failed records a failed call and waits for the backoff, up to the given one. Hints from peers with a
-// newer table do not shorten the wait, because they arrive many times a second.
-func (f *follower) failed(ctx context.Context, err error, longest time.Duration) {
+// failed records a failed call and returns the time until the next one, at most
+// longest. Hints from peers with a newer table do not shorten it, because they arrive
+// many times a second.
+func (f *follower) failed(ctx context.Context, err error, longest time.Duration) time.Duration {
 	if ctx.Err() != nil {
-		return
+		return 0
 	}
 	f.forceFullRead = true
 	if errors.Is(err, errReread) {
-		return
+		return 0
 	}
 	if errors.Is(err, damasktrail.ErrHistoryGone) {
 		f.historyGone = true
 		f.log.Info("history is gone, reading the whole value", "topic", f.topic)
-		return
+		return 0
 	}
 	f.outage = true
 	f.failures++
 	if f.failures == 1 {
 		f.log.Warn("directory does not answer", "topic", f.topic, "error", err)
 	}
-	delay := min(minBackoff<<min(f.failures-1, 10), longest)
-	_ = f.clock.Sleep(ctx, delay)
+	return min(minBackoff<<min(f.failures-1, 10), longest)
 }
