--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -240,7 +241,7 @@
 		engines := map[string]*engine{}
 		list := fleet.List{}
 		for i := range l.engines {
-			e := fleet.Endpoint{ID: "i-" + string(rune('a'+i/26)) + string(rune('a'+i%26)), Service: "llm", Domain: domainName(i % l.domains), Slots: slotsPerEngine}
+			e := fleet.Endpoint{ID: fmt.Sprintf("i-%03d", i), Service: "llm", Domain: domainName(i % l.domains), Slots: slotsPerEngine}
 			list = list.With(e)
 			// Every third engine takes four times as long as the others.
 			engines[e.ID] = &engine{slots: make(chan struct{}, slotsPerEngine), slowdown: []float64{0.7, 0.7, 3}[i/l.domains%3]}
@@ -334,4 +335,4 @@
 	})
 }
 
-func domainName(i int) string { return "d" + string(rune('0'+i)) }
+func domainName(i int) string { return fmt.Sprint("d", i) }
