Release slots of a client that restarted and report those whose coordinator restarted

Cause: found by reading the change: a client that restarts within 0.9 s is never silent, so slots of its earlier incarnation stayed taken at a coordinator that it did not ask again; and slots that a coordinator had granted before its own restart were counted by nobody until they ended. Change: a new incarnation of a client releases the slots of the one before. A coordinator tells a client which listed slots it does not know, and the client reports these to the other coordinators. Result: TestRestartedClient and TestRestartedCoordinator; the first could not be written against the code before (Forget knew no incarnation), the second fails there.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -92,15 +92,16 @@
 	client *Client
 	id     uint64
 	prompt int
-	// started and done are guarded by the client's mutex.
-	started, done bool
+	// started, done and orphaned are guarded by the client's mutex. orphaned says that
+	// the coordinator does not know the slot, since it has been restarted.
+	started, done, orphaned bool
 }
 
 // NewClient returns a client for the entry of that name. boot must differ between
 // two starts of the process.
-func NewClient(name string, boot uint64, fleet Fleet, local Scheduler, clock damasktrail.Clock, log *slog.Logger) *Client {
+func NewClient(name string, boot uint64, peers Fleet, local Scheduler, clock damasktrail.Clock, log *slog.Logger) *Client {
 	return &Client{
-		name: name, boot: boot, fleet: fleet, local: local, clock: clock, log: log,
+		name: name, boot: boot, fleet: peers, local: local, clock: clock, log: log,
 		waiting: map[uint64]*waitingAsk{}, held: map[uint64]*Slot{}, unresponsive: map[string]time.Time{}, lastUse: map[string]time.Time{},
 	}
 }
@@ -240,6 +241,9 @@
 	c.mu.Lock()
 	w := c.waiting[m.ID]
 	held := c.held[m.ID]
+	if held != nil && held.Coordinator == coordinator && m.Kind == kindUnknown {
+		held.orphaned = true
+	}
 	c.mu.Unlock()
 	switch {
 	case w != nil && w.coordinator == coordinator:
@@ -285,14 +289,14 @@
 	}
 }
 
-// OrphanedLoads returns the loads of the slots whose coordinator is lost, by endpoint
-// ID. Nobody else counts them.
+// OrphanedLoads returns the loads of the slots whose coordinator is lost or has been
+// restarted, by endpoint ID. Nobody else counts them.
 func (c *Client) OrphanedLoads() map[string]dispatch.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var res map[string]dispatch.Load
 	for _, s := range c.held {
-		if c.fleet.Alive(s.Coordinator) {
+		if !s.orphaned && c.fleet.Alive(s.Coordinator) {
 			continue
 		}
 		if res == nil {
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -61,7 +61,6 @@
 		tasks: tasks, clock: timer.New(tasks), loss: loss, random: rand.New(rand.NewPCG(1, 2)),
 		election: coordinator.Elect(members), nodes: map[string]*node{}, changed: map[string]bool{},
 	}
-	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	for _, m := range members {
 		p := &node{Member: m, network: n}
 		p.scheduler = dispatch.New(n.clock, m.Name, m.Domain, func(bool) {
@@ -71,8 +70,8 @@
 		})
 		p.scheduler.SetTurns(dispatch.OwnerTurns)
 		p.scheduler.SetEndpoints(endpoints)
-		p.client = coordinator.NewClient(m.Name, 1, p, p.scheduler, n.clock, quiet)
-		p.server = coordinator.NewServer(p.scheduler, n.clock, tasks, quiet, p.Send)
+		p.client = coordinator.NewClient(m.Name, 1, p, p.scheduler, n.clock, quiet())
+		p.newServer()
 		p.client.Start()
 		n.nodes[m.Name] = p
 	}
@@ -80,6 +79,16 @@
 	return n
 }
 
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// newServer replaces the server of the entry by one that knows nothing.
+func (p *node) newServer() {
+	n := p.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.server = coordinator.NewServer(p.scheduler, n.clock, n.tasks, quiet(), p.Send)
+}
+
 // report delivers the reports of the entries that have changed to the coordinators.
 func (n *network) report() {
 	n.mu.Lock()
@@ -133,7 +142,7 @@
 		n.mu.Unlock()
 		for _, p := range n.nodes {
 			p.scheduler.SetPeer(name, dispatch.Report{})
-			p.server.Forget(name)
+			p.server.Forget(name, 1)
 		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -174,8 +183,11 @@
 		return
 	}
 	n.clock.Schedule(messageDelay, func(time.Time) {
-		if !n.isDown(to) {
-			_ = coordinator.Receive(to.client, to.server, p.Name, datagram)
+		n.mu.Lock()
+		server, down := to.server, to.down
+		n.mu.Unlock()
+		if !down {
+			_ = coordinator.Receive(to.client, server, p.Name, datagram)
 		}
 	})
 }
--- a/coordinator/load_test.go
+++ b/coordinator/load_test.go
@@ -86,3 +86,39 @@
 		require.Empty(t, server.scheduler.Report().Loads)
 	})
 }
+
+// Guards against slots of an earlier incarnation of a client that stay taken: a client
+// that restarts within a second is never silent, and may ask another coordinator.
+func TestRestartedClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(members(3, 8), fleet.Of(fleet.Endpoint{ID: "e", Service: "llm", Domain: "d0", Slots: 4}), 0)
+		defer n.close()
+		client, server := n.nodes["entry-0-01"], n.nodes["entry-0-00"]
+		r := dispatch.Request{Service: "llm", Engine: true, Objective: time.Second, Timeout: 10 * time.Second}
+		_, refused := client.client.Acquire(context.Background(), r)
+		require.Nil(t, refused)
+		server.server.Forget(client.Name, 2)
+		require.NotEmpty(t, server.scheduler.Report().Loads, "another incarnation is not the one that holds the slot")
+		server.server.Forget(client.Name, 1)
+		require.Empty(t, server.scheduler.Report().Loads)
+	})
+}
+
+// Guards against slots that nobody counts because the coordinator that granted them has
+// been restarted under its name: the client reports them to the others.
+func TestRestartedCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(members(3, 8), fleet.Of(fleet.Endpoint{ID: "e", Service: "llm", Domain: "d0", Slots: 4}), 0)
+		defer n.close()
+		client, server := n.nodes["entry-0-01"], n.nodes["entry-0-00"]
+		s, refused := client.client.Acquire(context.Background(), dispatch.Request{Service: "llm", Engine: true, Objective: time.Second, Timeout: 10 * time.Second})
+		require.Nil(t, refused)
+		time.Sleep(time.Second)
+		require.Empty(t, client.client.OrphanedLoads())
+		server.newServer()
+		time.Sleep(time.Second)
+		require.Equal(t, 1, client.client.OrphanedLoads()["e"].Requests)
+		s.Done(dispatch.Answered, 0)
+		require.Empty(t, client.client.OrphanedLoads())
+	})
+}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -32,8 +32,8 @@
 	kindCancelled
 	// kindHoldings lists the asks and slots of the client.
 	kindHoldings
-	// kindUnknown says that the coordinator does not have an ask that the client
-	// listed, or cannot take it.
+	// kindUnknown says that the coordinator does not have an ask or slot that the
+	// client listed, or cannot take an ask.
 	kindUnknown
 )
 
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -208,6 +208,9 @@
 	}
 	for _, id := range m.Held {
 		listed[id] = true
+		if c.asks[id] == nil {
+			replies = append(replies, message{Kind: kindUnknown, Boot: m.Boot, ID: id})
+		}
 	}
 	for id, a := range c.asks {
 		if !listed[id] && now.Sub(a.changedAt) > minHoldingAge {
@@ -229,10 +232,15 @@
 	}
 }
 
-// Forget releases all slots of a client that is gone.
-func (s *Server) Forget(client string) {
+// Forget releases all slots of an incarnation of a client that is gone.
+func (s *Server) Forget(client string, boot uint64) {
 	s.mu.Lock()
-	grants := s.clients[client].end()
+	c := s.clients[client]
+	if c == nil || c.boot != boot {
+		s.mu.Unlock()
+		return
+	}
+	grants := c.end()
 	delete(s.clients, client)
 	s.mu.Unlock()
 	s.release(client, grants)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -133,12 +133,13 @@
 // PeerSilent implements exchange.Handler.
 func (h exchangeHandler) PeerSilent(peer exchange.Peer) {
 	h.g.scheduler.SetPeer(peer.Name, dispatch.Report{})
-	h.g.slotServer.Forget(peer.Name)
+	h.g.slotServer.Forget(peer.Name, peer.Boot)
 }
 
 // ForgetPeer implements exchange.Handler.
 func (h exchangeHandler) ForgetPeer(peer exchange.Peer) {
 	h.g.scheduler.SetPeer(peer.Name, dispatch.Report{})
+	h.g.slotServer.Forget(peer.Name, peer.Boot)
 	h.g.quotas.RemovePeer(peer.String())
 }
 
