--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -21,7 +21,7 @@
 	// checkInterval is the time between checks that the coordinator of a waiting ask
 	// is still there.
 	checkInterval = 100 * time.Millisecond
-	// unresponsiveTime is how long a coordinator that did not reply is asked last.
+	// unresponsiveTime is how long a coordinator that did not reply is not asked.
 	unresponsiveTime = time.Second
 	// holdingsInterval is the time between two lists of holdings.
 	holdingsInterval = 200 * time.Millisecond
@@ -62,7 +62,7 @@
 	// waiting has the asks without a slot, held those with one.
 	waiting map[uint64]*waitingAsk
 	held    map[uint64]*Slot
-	// unresponsive has the time until which a coordinator is asked last.
+	// unresponsive has the time until which a coordinator is not asked.
 	unresponsive map[string]time.Time
 	// lastUse has the time at which an ask or slot at a coordinator last began or
 	// ended, by the name of the coordinator.
