Date the first failed call for the endpoints by its failure, not by its start

A watch that an outage for all ends began up to 2.5 s before, and peers had the table confirmed meanwhile; the coordinators took that for a directory that answers others, all stepped down, and requests were refused for lack of endpoints. Change: the time of the failure counts. Result: TestOutageDuringWatch fails before; 20 runs of the package pass under the race detector.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -106,8 +106,8 @@
 	// endpointsRevision is the revision up to which the list of endpoints is known,
 	// endpointsChanged that of its last change.
 	endpointsRevision, endpointsChanged atomic.Uint64
-	// endpointsFailedAt is the uptime at the start of the first call for the endpoints
-	// that failed since one succeeded; zero when the last one has. It has one owner.
+	// endpointsFailedAt is the uptime at which the first call for the endpoints failed
+	// since one succeeded; zero when the last one has. It has one owner.
 	endpointsFailedAt time.Duration
 	// turnedAway says that the directory does not answer this entry although it answers
 	// a peer.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -336,6 +336,28 @@
 	})
 }
 
+// Guards against an outage for all that is taken for one of this entry only: a watch
+// that the outage ends began long before, and peers had the table confirmed meanwhile.
+// On a simulated day all coordinators stepped down, and requests were refused for lack
+// of endpoints.
+func TestOutageDuringWatch(t *testing.T) {
+	d := &fakeDirectory{list: fleet.Of(fleet.Endpoint{ID: "a", Slots: 1})}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		time.Sleep(2 * time.Second)
+		c.Confirm(1, time.Hour+2*time.Second)
+		d.update(func() {
+			d.err = errDown
+			d.list = fleet.List{}
+		})
+		time.Sleep(2 * time.Second)
+		require.False(t, c.EndpointsStale())
+		d.update(func() { d.err = nil })
+		time.Sleep(500 * time.Millisecond)
+		_, found := c.Snapshot().Endpoints.Find("a")
+		require.True(t, found)
+	})
+}
+
 // Guards against an endpoint that has left and stays in the list of an entry that the
 // directory had turned away while it answered others: in a simulated day such an entry
 // became a coordinator again and granted a slot of an endpoint 5 s after it had begun
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -125,7 +125,7 @@
 		c.turnedAway.Store(false)
 	case f.failures == 0:
 	case c.endpointsFailedAt == 0:
-		c.endpointsFailedAt = start
+		c.endpointsFailedAt = c.uptime()
 	default:
 		confirmedAt := time.Duration(c.confirmedAt.Load())
 		answersPeers := confirmedAt > c.endpointsFailedAt+confirmSlack && confirmedAt < start
