--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -243,7 +243,7 @@
 			continue
 		}
 		start := c.uptime()
-		news, err := c.directory.WatchTable(ctx, revision, time.Millisecond)
+		news, err := c.directory.WatchTable(ctx, damasktrail.Watch{After: revision, Wait: time.Millisecond})
 		switch {
 		case err == nil:
 			c.adoptTable(news, "confirmation", start)
@@ -251,7 +251,7 @@
 			c.mu.Lock()
 			c.confirm(start)
 			c.mu.Unlock()
-		case errors.Is(err, damasktrail.ErrHistoryGone):
+		case errors.Is(err, damasktrail.ErrHistoryGone), errors.Is(err, damasktrail.ErrManyChanges):
 			c.requestReread()
 			delay = backoff
 		default:
@@ -296,7 +296,7 @@
 	}
 	c.watchedRevision.Store(f.revision)
 	return interruptible(ctx, c, c.rereadTable, func(ctx context.Context) (damasktrail.TableUpdate, error) {
-		return c.directory.WatchTable(ctx, f.revision, tableWatchTimeout)
+		return c.directory.WatchTable(ctx, damasktrail.Watch{After: f.revision, Wait: tableWatchTimeout})
 	})
 }
 
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -150,7 +150,7 @@
 	if c.hasMissing() {
 		wait = missingGrace / 2
 	}
-	return c.directory.WatchEndpoints(ctx, f.revision, wait)
+	return c.directory.WatchEndpoints(ctx, damasktrail.Watch{After: f.revision, Wait: wait})
 }
 
 // hasMissing reports whether endpoints have been missing since an outage.
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -68,6 +68,10 @@
 		f.log.Info("history is gone, reading the whole value", "topic", f.topic)
 		return 0
 	}
+	if errors.Is(err, damasktrail.ErrManyChanges) {
+		f.log.Info("many changes, reading the whole value", "topic", f.topic)
+		return 0
+	}
 	f.outage = true
 	f.failures++
 	// Failures 1, 2, 4, 8 and so on are logged, which shows whether their cause changes.
--- a/directory.go
+++ b/directory.go
@@ -13,6 +13,22 @@
 // back to the given revision. The caller must read the whole value again.
 var ErrHistoryGone = errors.New("history is no longer available")
 
+// ErrManyChanges is returned by a watch of a [Directory] that would bring more than the
+// whole value. The caller must read the whole value again.
+var ErrManyChanges = errors.New("changes are larger than the whole value")
+
+// Watch says what a watch of a [Directory] waits for.
+type Watch struct {
+	// After is the revision after which changes are returned.
+	After uint64
+	// Wait is how long the watch waits for a change. An answer that begins to arrive in
+	// this time may take longer.
+	Wait time.Duration
+	// Receiving is called once when the answer begins to arrive, unless it is nil. A
+	// caller that ends the watch later loses an answer that is on its way.
+	Receiving func()
+}
+
 // TableUpdate is the result of a read or watch of the routing table.
 type TableUpdate struct {
 	// Table is never nil.
@@ -59,15 +75,14 @@
 type Directory interface {
 	// Table returns the newest table.
 	Table(ctx context.Context) (TableUpdate, error)
-	// WatchTable waits for a table newer than the revision after. It returns
-	// [ErrUnchanged] if none is published within wait, and [ErrHistoryGone] if
-	// the history does not reach back to after.
-	WatchTable(ctx context.Context, after uint64, wait time.Duration) (TableUpdate, error)
+	// WatchTable waits for a table newer than w.After. It returns [ErrUnchanged] if
+	// none is published in time, [ErrHistoryGone] if the history does not reach back
+	// to w.After, and [ErrManyChanges].
+	WatchTable(ctx context.Context, w Watch) (TableUpdate, error)
 	// Endpoints returns the whole list. With cheap set it may be seconds old, and the
 	// call costs a fraction of another.
 	Endpoints(ctx context.Context, cheap bool) (EndpointUpdate, error)
-	// WatchEndpoints waits for changes newer than the revision after. It returns
-	// [ErrUnchanged] if there are none within wait, and [ErrHistoryGone] if the
-	// history does not reach back to after.
-	WatchEndpoints(ctx context.Context, after uint64, wait time.Duration) (EndpointUpdate, error)
+	// WatchEndpoints waits for changes newer than w.After. It returns the same errors
+	// as WatchTable.
+	WatchEndpoints(ctx context.Context, w Watch) (EndpointUpdate, error)
 }
