Do not end a watch or begin a read of the table while it is arriving

Peers report a newer table several times a second; each report ended a watch whose answer was on its way, and reports during a full read caused another one after it. On a narrow link both made a large table take twice its time. A confirmation beside an arriving answer fetched the table once more, and each confirmation did so at an entry that peers tell of changes. Change: type rereads holds the requests for full reads. A confirmation is not asked for while a table arrives, and continues from the last one that a confirmation brought. The code about the table has a file of its own.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -4,8 +4,6 @@
 package catalog
 
 import (
-	"context"
-	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -17,13 +15,6 @@
 	"damasktrail.dev/routing"
 )
 
-// Calls that bring a table, as the log names them.
-const (
-	callRead         = "read"
-	callWatch        = "watch"
-	callConfirmation = "confirmation"
-)
-
 const (
 	// tableWatchTimeout bounds a watch of the table. It may be long because a hint
 	// from a peer with a newer table ends a watch that hangs on a dead connection.
@@ -104,9 +95,9 @@
 	// that confirmed the table; zero before the first.
 	confirmedAt atomic.Int64
 	fleet       Fleet
-	// rereadTable and rereadEndpoints hold an element while a full read of the table
-	// or of the endpoints is requested.
-	rereadTable, rereadEndpoints chan struct{}
+	// tableRereads and endpointsRereads are the requests to read the table and the list
+	// of endpoints in full.
+	tableRereads, endpointsRereads *rereads
 	// watchedRevision is the revision from which the table is being watched; zero
 	// while no watch runs.
 	watchedRevision atomic.Uint64
@@ -154,16 +145,16 @@
 // new snapshot, before the next one is published.
 func New(directory damasktrail.Directory, clock damasktrail.Clock, uptime func() time.Duration, fleet Fleet, log *slog.Logger, onChange func(Snapshot)) *Catalog {
 	res := &Catalog{
-		directory:       directory,
-		clock:           clock,
-		log:             log,
-		uptime:          uptime,
-		fleet:           fleet,
-		onChange:        onChange,
-		rereadTable:     make(chan struct{}, 1),
-		rereadEndpoints: make(chan struct{}, 1),
-		missing:         map[string]time.Time{},
-	}
+		directory: directory,
+		clock:     clock,
+		log:       log,
+		uptime:    uptime,
+		fleet:     fleet,
+		onChange:  onChange,
+		missing:   map[string]time.Time{},
+	}
+	res.tableRereads = newRereads(clock, func() bool { return res.hinted.Load() > res.version() })
+	res.endpointsRereads = newRereads(clock, res.endpointsBehind)
 	res.current.Store(&Snapshot{})
 	return res
 }
@@ -200,194 +191,6 @@
 	return version, c.Age()
 }
 
-// Hint reports that a peer holds the given version of the table. If it is newer
-// than the catalog's, the table is read at once.
-func (c *Catalog) Hint(version uint64) {
-	held := uint64(0)
-	if t := c.Snapshot().Table; t != nil {
-		held = t.Version
-	}
-	if version <= held {
-		return
-	}
-	if known := c.hinted.Load(); version > known && c.hinted.CompareAndSwap(known, version) {
-		c.log.Info("peer has a newer table", "version", version, "held", held, "watching", c.watchedRevision.Load() != 0)
-	}
-	c.requestReread()
-}
-
-// requestReread ends the watch of the table, so that the full table is read.
-func (c *Catalog) requestReread() { signal(c.rereadTable) }
-
-func signal(requests chan<- struct{}) {
-	select {
-	case requests <- struct{}{}:
-	default:
-	}
-}
-
-// Confirm reports that a peer knew the given version of the table to be the newest
-// at the given uptime of this VM. Other versions than the one in force are ignored.
-func (c *Catalog) Confirm(version uint64, at time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t := c.current.Load().Table; t != nil && t.Version == version {
-		c.confirm(at)
-	}
-}
-
-// confirmWhenDue asks the directory to confirm the table when no peer has
-// confirmed it in time, until ctx ends.
-func (c *Catalog) confirmWhenDue(ctx context.Context) {
-	delay := confirmCheckInterval
-	for c.clock.Sleep(ctx, delay) == nil {
-		delay = confirmCheckInterval
-		rank := c.fleet.Rank()
-		due := min(firstConfirmAge+time.Duration(rank)*confirmAgeStep, maxConfirmAge)
-		backoff := maxBackoff * time.Duration(1+rank/ranksPerBackoff)
-		revision := c.watchedRevision.Load()
-		if revision == 0 || c.Age() < due {
-			continue
-		}
-		start := c.uptime()
-		news, err := c.directory.WatchTable(ctx, damasktrail.Watch{After: revision, Wait: time.Millisecond})
-		switch {
-		case err == nil:
-			c.adoptTable(news, callConfirmation, start)
-		case errors.Is(err, damasktrail.ErrUnchanged):
-			c.mu.Lock()
-			c.confirm(start)
-			c.mu.Unlock()
-		case errors.Is(err, damasktrail.ErrHistoryGone), errors.Is(err, damasktrail.ErrManyChanges):
-			c.requestReread()
-			delay = backoff
-		default:
-			delay = backoff
-		}
-	}
-}
-
-// followTable keeps the table up to date until ctx ends.
-func (c *Catalog) followTable(ctx context.Context) {
-	f := follower{clock: c.clock, log: c.log, topic: "table"}
-	for ctx.Err() == nil {
-		start := c.uptime()
-		news, err := c.nextTable(ctx, &f)
-		c.watchedRevision.Store(0)
-		switch {
-		case err == nil:
-			c.adoptTable(news, f.call(), start)
-			f.succeeded(news.Revision)
-		case errors.Is(err, damasktrail.ErrUnchanged):
-			f.succeeded(f.revision)
-		default:
-			_ = c.clock.Sleep(ctx, f.failed(ctx, err, c.longestBackoff()))
-		}
-	}
-}
-
-// nextTable reads the full table if a full read is due, and otherwise watches for
-// a newer one. A requested reread ends the watch with errReread.
-func (c *Catalog) nextTable(ctx context.Context, f *follower) (damasktrail.TableUpdate, error) {
-	c.awaitPeers(ctx, f)
-	if f.revision != 0 && !f.forceFullRead && !c.fleet.Follows() {
-		f.fullRead = false
-		c.watchedRevision.Store(f.revision)
-		return damasktrail.TableUpdate{}, c.idle(ctx, c.rereadTable)
-	}
-	if f.startFullRead() {
-		return c.directory.Table(ctx)
-	}
-	c.watchedRevision.Store(f.revision)
-	return interruptible(ctx, c, c.rereadTable, func(ctx context.Context) (damasktrail.TableUpdate, error) {
-		return c.directory.WatchTable(ctx, damasktrail.Watch{After: f.revision, Wait: tableWatchTimeout})
-	})
-}
-
-// longestBackoff returns the longest pause between two failed reads.
-func (c *Catalog) longestBackoff() time.Duration {
-	if c.fleet.Follows() {
-		return maxBackoff
-	}
-	return maxIdleBackoff
-}
-
-// awaitPeers waits after the first read until peers tell this entry that it need not
-// follow the directory, for maxPeerWait at most.
-func (c *Catalog) awaitPeers(ctx context.Context, f *follower) {
-	if f.revision == 0 || f.awaitedPeers || c.fleet.Alone() {
-		return
-	}
-	f.awaitedPeers = true
-	for end := c.clock.Now().Add(maxPeerWait); c.fleet.Follows() && c.clock.Now().Before(end); {
-		if c.clock.Sleep(ctx, idleCheckInterval) != nil {
-			return
-		}
-	}
-}
-
-// idle waits for a request to read the whole value, or for idleCheckInterval.
-func (c *Catalog) idle(ctx context.Context, reread <-chan struct{}) error {
-	select {
-	case <-reread:
-		return errReread
-	default:
-	}
-	if err := c.clock.Sleep(ctx, idleCheckInterval); err != nil {
-		return err
-	}
-	return damasktrail.ErrUnchanged
-}
-
-// interruptible runs a watch that ends with errReread when a full read is requested.
-func interruptible[T any](ctx context.Context, c *Catalog, reread <-chan struct{}, watch func(context.Context) (T, error)) (T, error) {
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	c.tasks.Go(func(context.Context) {
-		select {
-		case <-reread:
-			stop(errReread)
-		case <-ctx.Done():
-		}
-	})
-	news, err := watch(ctx)
-	if err != nil && errors.Is(context.Cause(ctx), errReread) {
-		c.log.Info("watch ended for a full read", "error", err)
-		err = errReread
-	}
-	return news, err
-}
-
-// errReread ends a watch when a full read is requested.
-var errReread = errors.New("full read requested")
-
-// confirm records that the table was the newest at the given uptime; an earlier
-// uptime than the recorded one is ignored. The caller holds mu.
-func (c *Catalog) confirm(at time.Duration) {
-	c.confirmedAt.Store(max(int64(at), c.confirmedAt.Load(), 1))
-}
-
-// adoptTable puts a table in force if it is newer than the current one. Unless it
-// is older, it confirms the table as of start, the uptime at which the call began.
-func (c *Catalog) adoptTable(news damasktrail.TableUpdate, call string, start time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := news.Table
-	s := *c.current.Load()
-	switch {
-	case s.Table == nil || t.Version > s.Table.Version:
-		s.Table = t
-		routes, services, keys := t.Counts()
-		c.log.Info("table in force", "version", t.Version, "routes", routes, "services", services, "keys", keys,
-			"call", call, "bytes", news.Transfer.Bytes, "transfer", news.Transfer.Took, "since", c.uptime()-start)
-		c.publish(s)
-	case t.Version < s.Table.Version:
-		c.log.Warn("older table ignored", "version", t.Version, "held", s.Table.Version)
-		return
-	}
-	c.confirm(start)
-}
-
 // publish makes s the current snapshot and calls onChange. The caller holds mu.
 func (c *Catalog) publish(s Snapshot) {
 	c.current.Store(&s)
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,7 +37,16 @@
 	err error
 	// stuck makes watches report no changes.
 	stuck bool
+	// deaf makes watches that wait report no changes.
+	deaf  bool
 	calls int
+	// head is the time to the start of a watch's answer, transfer how long a table takes
+	// to arrive after it, transfers the number of tables that have begun to, reads that
+	// of full reads of the table.
+	head, transfer   time.Duration
+	transfers, reads int
+	// broken is the error of watches whose answer has begun to arrive, unless it is nil.
+	broken error
 }
 
 func (d *fakeDirectory) update(f func()) {
@@ -57,11 +67,29 @@
 	return d.err
 }
 
-func (d *fakeDirectory) Table(context.Context) (damasktrail.TableUpdate, error) {
-	err := d.countCall()
+func (d *fakeDirectory) Table(ctx context.Context) (damasktrail.TableUpdate, error) {
+	if err := d.countCall(); err != nil {
+		return damasktrail.TableUpdate{}, err
+	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	return damasktrail.TableUpdate{Table: d.table, Revision: d.revision}, err
+	d.reads++
+	d.mu.Unlock()
+	return d.sendTable(ctx)
+}
+
+// sendTable returns the table after the time that it takes to arrive.
+func (d *fakeDirectory) sendTable(ctx context.Context) (damasktrail.TableUpdate, error) {
+	d.mu.Lock()
+	res := damasktrail.TableUpdate{Table: d.table, Revision: d.revision}
+	transfer := d.transfer
+	d.transfers++
+	d.mu.Unlock()
+	select {
+	case <-time.After(transfer):
+		return res, nil
+	case <-ctx.Done():
+		return damasktrail.TableUpdate{}, ctx.Err()
+	}
 }
 
 func (d *fakeDirectory) Endpoints(_ context.Context, _ bool) (damasktrail.EndpointUpdate, error) {
@@ -82,7 +110,7 @@
 	}
 	for end := time.Now().Add(wait); time.Now().Before(end); {
 		d.mu.Lock()
-		changed, err := *revision > after && !d.stuck, d.err
+		changed, err := *revision > after && !d.stuck && (!d.deaf || wait <= time.Millisecond), d.err
 		d.mu.Unlock()
 		if changed || err != nil {
 			return err
@@ -101,8 +129,20 @@
 		return damasktrail.TableUpdate{}, err
 	}
 	d.mu.Lock()
+	head := d.head
+	d.mu.Unlock()
+	select {
+	case <-time.After(head):
+	case <-ctx.Done():
+		return damasktrail.TableUpdate{}, ctx.Err()
+	}
+	if w.Receiving != nil {
+		w.Receiving()
+	}
+	res, err := d.sendTable(ctx)
+	d.mu.Lock()
 	defer d.mu.Unlock()
-	return damasktrail.TableUpdate{Table: d.table, Revision: d.revision}, nil
+	return res, cmp.Or(err, d.broken)
 }
 
 func (d *fakeDirectory) WatchEndpoints(ctx context.Context, w damasktrail.Watch) (damasktrail.EndpointUpdate, error) {
@@ -205,6 +245,109 @@
 	})
 }
 
+// tableWatch is longer than a watch of the table.
+const tableWatch = 7 * time.Second
+
+// Guards against hints from peers that end a watch while its answer arrives, or that
+// make the table be read twice.
+func TestHintWhileTableArrives(t *testing.T) {
+	for _, idle := range []bool{false, true} {
+		d := &fakeDirectory{}
+		fleetOfMany := &fakeFleet{}
+		runInFleet(t, d, fleetOfMany, func(c *catalog.Catalog) {
+			fleetOfMany.idle.Store(idle)
+			c.Confirm(1, 2*time.Hour)
+			time.Sleep(tableWatch)
+			for version := uint64(2); version < 5; version++ {
+				d.update(func() {
+					d.head, d.transfer = 40*time.Millisecond, 1200*time.Millisecond
+					d.transfers, d.reads = 0, 0
+					d.table = newTable(t, version)
+				})
+				for range 70 {
+					time.Sleep(20 * time.Millisecond)
+					c.Hint(version)
+				}
+				require.Equal(t, version, c.Snapshot().Table.Version)
+				d.update(func() {
+					require.Equal(t, 1, d.transfers)
+					require.Equal(t, idle, d.reads == 1)
+				})
+			}
+		})
+	}
+}
+
+// Guards against a confirmation beside the answer of a watch, which would bring the
+// same table once more.
+func TestNoConfirmationWhileTableArrives(t *testing.T) {
+	d := &fakeDirectory{}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		d.update(func() {
+			d.transfer, d.transfers = 2*time.Second, 0
+			d.table = newTable(t, 2)
+		})
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, uint64(2), c.Snapshot().Table.Version)
+		d.update(func() { require.Equal(t, 1, d.transfers) })
+	})
+}
+
+// Guards against an answer that breaks off after it has held back the full read that a
+// hint asked for.
+func TestHintBeforeBrokenAnswer(t *testing.T) {
+	d := &fakeDirectory{}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		d.update(func() {
+			d.deaf = true
+			d.transfer, d.broken = 300*time.Millisecond, errDown
+			d.table = newTable(t, 2)
+		})
+		for range 50 {
+			time.Sleep(20 * time.Millisecond)
+			d.mu.Lock()
+			arriving := d.transfers > 1
+			d.mu.Unlock()
+			if arriving {
+				break
+			}
+		}
+		c.Hint(2)
+		time.Sleep(700 * time.Millisecond)
+		require.Equal(t, uint64(2), c.Snapshot().Table.Version)
+	})
+}
+
+// Guards against reading without a pause when no read brings the version that a peer
+// reports.
+func TestHintOfUnknownVersion(t *testing.T) {
+	d := &fakeDirectory{transfer: time.Millisecond}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		d.update(func() { d.calls = 0 })
+		c.Hint(99)
+		time.Sleep(500 * time.Millisecond)
+		d.update(func() { require.Less(t, d.calls, 5) })
+	})
+}
+
+// Guards against a table that each confirmation brings again to an entry that does not
+// follow the directory.
+func TestConfirmationBringsTableOnce(t *testing.T) {
+	d := &fakeDirectory{}
+	fleetOfMany := &fakeFleet{}
+	runInFleet(t, d, fleetOfMany, func(c *catalog.Catalog) {
+		fleetOfMany.idle.Store(true)
+		time.Sleep(tableWatch)
+		d.update(func() {
+			d.transfers = 0
+			d.table = newTable(t, 2)
+		})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, uint64(2), c.Snapshot().Table.Version)
+		d.update(func() { require.Equal(t, 1, d.transfers) })
+	})
+}
+
 // Guards against a change that a watch misses without an error and that no later read
 // repairs: a watch that was open when a full read came due was taken for that read.
 func TestMissedChange(t *testing.T) {
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -38,7 +38,11 @@
 // updateEndpoints reads the full list if a full read is due, and otherwise watches
 // for changes. changed reports whether a watch has returned any.
 func (c *Catalog) updateEndpoints(ctx context.Context, f *follower) (changed bool, err error) {
+	if c.endpointsRereads.due() {
+		f.forceFullRead = true
+	}
 	if f.startFullRead() {
+		c.endpointsRereads.begin()
 		news, err := c.readEndpoints(ctx, f)
 		if err != nil {
 			return false, err
@@ -49,8 +53,8 @@
 		f.succeeded(news.Revision)
 		return false, nil
 	}
-	news, err := interruptible(ctx, c, c.rereadEndpoints, func(ctx context.Context) (damasktrail.EndpointUpdate, error) {
-		return c.watchEndpoints(ctx, f)
+	news, err := interruptible(ctx, c, c.endpointsRereads, func(ctx context.Context, began func()) (damasktrail.EndpointUpdate, error) {
+		return c.watchEndpoints(ctx, f, began)
 	})
 	switch {
 	case err == nil:
@@ -106,10 +110,17 @@
 		c.behindSince, c.rereadAt = now, now+maxBehind
 	case now > c.rereadAt:
 		c.rereadAt = now + maxBehind
-		signal(c.rereadEndpoints)
+		c.endpointsRereads.request()
 	}
 }
 
+// endpointsBehind reports whether a peer knows a newer list of endpoints.
+func (c *Catalog) endpointsBehind() bool {
+	c.hintMu.Lock()
+	defer c.hintMu.Unlock()
+	return c.newestEndpoints > c.endpointsRevision.Load()
+}
+
 // EndpointsStale reports whether the directory does not answer this entry although
 // it answers a peer. The list of endpoints is then older than the peer's.
 func (c *Catalog) EndpointsStale() bool { return c.turnedAway.Load() }
@@ -145,12 +156,12 @@
 
 // watchEndpoints waits for changes of the endpoints. While endpoints are missing,
 // it waits for at most half of missingGrace, so that they are removed in time.
-func (c *Catalog) watchEndpoints(ctx context.Context, f *follower) (damasktrail.EndpointUpdate, error) {
+func (c *Catalog) watchEndpoints(ctx context.Context, f *follower, began func()) (damasktrail.EndpointUpdate, error) {
 	wait := endpointsWatchTimeout
 	if c.hasMissing() {
 		wait = missingGrace / 2
 	}
-	return c.directory.WatchEndpoints(ctx, damasktrail.Watch{After: f.revision, Wait: wait})
+	return c.directory.WatchEndpoints(ctx, damasktrail.Watch{After: f.revision, Wait: wait, Receiving: began})
 }
 
 // hasMissing reports whether endpoints have been missing since an outage.
--- a/gateway/table_test.go
+++ b/gateway/table_test.go
@@ -156,6 +156,7 @@
 			c.Start(tasks)
 			require.Eventually(t, func() bool { return c.Snapshot().Table != nil }, time.Second, hintInterval)
 			time.Sleep(500 * time.Millisecond)
+			c.Confirm(1, timer.Uptime())
 			for range 3 {
 				version, start, before := store.publish(4500), time.Now(), store.sent.Load()
 				for c.Snapshot().Table.Version < version {
@@ -163,7 +164,10 @@
 					time.Sleep(hintInterval)
 					c.Hint(version)
 				}
-				time.Sleep(1200 * time.Millisecond)
+				for range 60 {
+					time.Sleep(hintInterval)
+					c.Confirm(version, timer.Uptime())
+				}
 				require.Less(t, store.sent.Load()-before, int64(1_900_000), "bytes for one table of 1.3 MB")
 			}
 		})
