Remove endpoints that are missing after an outage also amid other changes

The gateway had kept the endpoint for the 2.3 s after an outage, and only a watch without changes removed it; endpoints were being replaced, so each watch brought some. Change: endpoints whose grace is over are removed after every watch. Result: TestLapseAmidChanges failed before and passes.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -385,6 +385,24 @@
 	})
 }
 
+// Guards against an endpoint that is kept after its grace because watches bring other
+// changes all the time: in a simulated day a gateway sent a request to one that had left
+// 4.1 s before, while the endpoints of its service were replaced.
+func TestLapseAmidChanges(t *testing.T) {
+	d := &fakeDirectory{list: fleet.Of(fleet.Endpoint{ID: "gone"})}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		d.update(func() { d.err, d.list = errDown, fleet.List{} })
+		time.Sleep(4 * time.Second)
+		d.update(func() { d.err = nil })
+		for i := range 20 {
+			time.Sleep(200 * time.Millisecond)
+			d.update(func() { d.list = d.list.With(fleet.Endpoint{ID: fmt.Sprint(i)}) })
+		}
+		_, found := c.Snapshot().Endpoints.Find("gone")
+		require.False(t, found)
+	})
+}
+
 // Guards against a confirmation of another version, or of an earlier time, that
 // changes the age of the table.
 func TestConfirm(t *testing.T) {
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -59,6 +59,7 @@
 	switch {
 	case err == nil:
 		c.apply(news)
+		c.expire(c.clock.Now())
 		c.endpointsChanged.Store(max(c.endpointsChanged.Load(), news.Revision))
 		f.succeeded(news.Revision)
 	case errors.Is(err, damasktrail.ErrUnchanged):
