Bound answers of the configuration service by their progress too

The client of the configuration service gave a whole answer the wait and 2 s, so a document that needs longer on a narrow link would be begun anew for ever; an answer that trickles was read for 32 s. Result: TestSlowAnswer of package source (600 kB in 3 s) and TestTricklingAnswer failed before (deadline exceeded; 32.0 s) and pass. Tests of source, platform, catalog and entry pass.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -69,8 +69,8 @@
 	return telemetry.Logger(os.Stderr, "entry", level), nil
 }
 
-func newSource(s entry.Settings) damasktrail.Source {
-	return source.New(s.Platform, http.DefaultClient).WithWait(longPollTimeout)
+func newSource(s entry.Settings, clock damasktrail.Clock) damasktrail.Source {
+	return source.New(s.Platform, http.DefaultClient, clock).WithWait(longPollTimeout)
 }
 
 func newEntry(s entry.Settings, source damasktrail.Source, clock damasktrail.Clock, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) (*entry.Entry, error) {
--- a/source/client.go
+++ b/source/client.go
@@ -4,6 +4,7 @@
 package source
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"errors"
@@ -15,6 +16,7 @@
 	"time"
 
 	"damasktrail.dev"
+	"damasktrail.dev/internal/progress"
 )
 
 const (
@@ -24,10 +26,17 @@
 	// newer value. With one read per 30 s, 14 readers that watch two values take 0.93
 	// of the 2,000 reads a second.
 	DefaultWait = 30 * time.Second
-	// waitMargin is added to the wait to give the timeout of a read. The platform
-	// answers within milliseconds. A silent connection must not delay a change for
-	// long, since the change has to be in force everywhere within 9 s.
+	// waitMargin is added to the wait to give the time to the head of an answer. The
+	// platform answers within milliseconds. A silent connection must not delay a change
+	// for long, since the change has to be in force everywhere within 9 s.
 	waitMargin = 2 * time.Second
+	// stallTimeout is the time in which minProgressBytes of an answer must arrive. A
+	// whole answer has no time limit, since it may come over a narrow or busy link.
+	stallTimeout     = 2 * time.Second
+	minProgressBytes = 16 << 10
+	// maxAnswerBytes bounds an answer as sent. Compression can make a value larger by a
+	// few bytes for each block.
+	maxAnswerBytes = MaxBytes + 4096
 	// maxDetailBytes limits the part of an error response that is kept.
 	maxDetailBytes = 200
 )
@@ -82,6 +91,7 @@
 type Client struct {
 	baseURL    string
 	httpClient *http.Client
+	clock      damasktrail.Clock
 	wait       time.Duration
 }
 
@@ -89,12 +99,12 @@
 
 // New returns a client of the platform at baseURL, such as "http://10.0.0.1:8500".
 // The timeout of httpClient, if any, must exceed the wait of a read.
-func New(baseURL string, httpClient *http.Client) *Client {
-	return &Client{baseURL: baseURL, httpClient: httpClient, wait: DefaultWait}
+func New(baseURL string, httpClient *http.Client, clock damasktrail.Clock) *Client {
+	return &Client{baseURL: baseURL, httpClient: httpClient, clock: clock, wait: DefaultWait}
 }
 
 // WithWait returns a copy whose reads wait up to d for a newer value, instead of
-// [DefaultWait]. A call ends at the latest 2 s after d.
+// [DefaultWait]. A call ends at the latest 2 s after d, unless its answer is arriving.
 func (c *Client) WithWait(d time.Duration) *Client {
 	res := *c
 	res.wait = d
@@ -118,48 +128,45 @@
 			err = fmt.Errorf("read %s from the platform: %w", kind, err)
 		}
 	}()
-	ctx, cancel := context.WithTimeout(ctx, c.wait+waitMargin)
-	defer cancel()
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {c.wait.String()}}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.baseURL+"/v1/"+kind+"?"+query.Encode(), nil)
-	if err != nil {
-		return res, err
+	call := progress.Call{
+		Client: c.httpClient, Clock: c.clock,
+		Limit: progress.Limit{Head: c.wait + waitMargin, Interval: stallTimeout, MinBytes: minProgressBytes, MaxBytes: maxAnswerBytes},
 	}
 	// The header is set explicitly, so that compression is also used when it is
 	// disabled in the transport.
-	request.Header.Set("Accept-Encoding", "gzip")
-	response, err := c.httpClient.Do(request)
-	if err != nil {
+	header := http.Header{"Accept-Encoding": {"gzip"}}
+	answer, err := call.Get(ctx, c.baseURL+"/v1/"+kind+"?"+query.Encode(), header)
+	switch {
+	case errors.Is(err, progress.ErrTooLong):
+		return res, &SizeError{Kind: kind}
+	case err != nil:
 		return res, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	switch response.StatusCode {
-	case http.StatusOK:
-	case http.StatusNotModified:
+	case answer.Status == http.StatusNotModified:
 		return res, damasktrail.ErrUnchanged
-	default:
-		return res, newStatusError(kind, response)
+	case answer.Status != http.StatusOK:
+		return res, newStatusError(kind, answer)
 	}
-	res.Version, err = strconv.ParseUint(response.Header.Get("Generation"), 10, 64)
+	res.Version, err = strconv.ParseUint(answer.Header.Get("Generation"), 10, 64)
 	if err != nil {
 		return damasktrail.Value{}, fmt.Errorf("read the header Generation: %w", err)
 	}
 	if res.Version <= after {
 		return damasktrail.Value{}, &OlderError{Kind: kind, After: after, Got: res.Version}
 	}
-	res.Data, err = readBody(kind, response)
+	res.Data, err = decompress(kind, answer)
 	if err != nil {
 		return damasktrail.Value{}, err
 	}
 	return res, nil
 }
 
-// readBody returns the decompressed body. It reads up to one byte more than MaxBytes,
+// decompress returns the decompressed body. It reads up to one byte more than MaxBytes,
 // to distinguish a value of that size from a larger one.
-func readBody(kind string, response *http.Response) ([]byte, error) {
-	var reader io.Reader = response.Body
-	if response.Header.Get("Content-Encoding") == "gzip" {
-		z, err := gzip.NewReader(response.Body)
+func decompress(kind string, answer progress.Answer) ([]byte, error) {
+	var reader io.Reader = bytes.NewReader(answer.Body)
+	if answer.Header.Get("Content-Encoding") == "gzip" {
+		z, err := gzip.NewReader(reader)
 		if err != nil {
 			return nil, err
 		}
@@ -175,10 +182,10 @@
 	return res, nil
 }
 
-func newStatusError(kind string, response *http.Response) *StatusError {
-	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxDetailBytes))
-	res := &StatusError{Kind: kind, Status: response.StatusCode, Detail: string(detail)}
-	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
+func newStatusError(kind string, answer progress.Answer) *StatusError {
+	detail := answer.Body[:min(len(answer.Body), maxDetailBytes)]
+	res := &StatusError{Kind: kind, Status: answer.Status, Detail: string(detail)}
+	if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil && seconds > 0 {
 		res.RetryAfter = time.Duration(seconds) * time.Second
 	}
 	return res
