Test that a change nobody tells of is in force within the bound

A gateway that does not follow the directory learns of changes from peers; no test had the sum of the times when every coordinator that knows of one is lost. Change: a test of an entry of rank 24 that hears nothing, with changes at 28 different moments of its confirmation interval; the bound of 3 s is that of the grown deployments.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -158,10 +158,13 @@
 	return res
 }
 
-// fakeFleet is a fleet in which this entry has the first rank.
-type fakeFleet struct{ idle atomic.Bool }
+// fakeFleet is a fleet in which this entry has the first rank, unless it is set.
+type fakeFleet struct {
+	idle atomic.Bool
+	rank int
+}
 
-func (*fakeFleet) Rank() int       { return 0 }
+func (f *fakeFleet) Rank() int     { return f.rank }
 func (*fakeFleet) Alone() bool     { return true }
 func (f *fakeFleet) Follows() bool { return !f.idle.Load() }
 
@@ -293,6 +296,23 @@
 	})
 }
 
+// Guards against a change that nobody tells to an entry that does not follow the
+// directory, as when all coordinators that know of it are lost: it has to be in force
+// within 3 s, whenever it is made.
+func TestToldByNobody(t *testing.T) {
+	d := &fakeDirectory{}
+	fleetOfMany := &fakeFleet{rank: 24}
+	fleetOfMany.idle.Store(true)
+	runInFleet(t, d, fleetOfMany, func(c *catalog.Catalog) {
+		for version := uint64(2); version < 30; version++ {
+			time.Sleep(time.Duration(version) * 97 * time.Millisecond)
+			d.update(func() { d.table = newTable(t, version) })
+			time.Sleep(3 * time.Second)
+			require.Equal(t, version, c.Snapshot().Table.Version)
+		}
+	})
+}
+
 // Guards against an answer that breaks off after it has held back the full read that a
 // hint asked for.
 func TestHintBeforeBrokenAnswer(t *testing.T) {
