--- a/source/client.go
+++ b/source/client.go
@@ -33,7 +33,7 @@
 	// stallTimeout is the time in which minProgressBytes of an answer must arrive. A
 	// whole answer has no time limit, since it may come over a narrow or busy link.
 	stallTimeout     = 2 * time.Second
-	minProgressBytes = 16 << 10
+	minProgressBytes = 4 << 10
 	// maxAnswerBytes bounds an answer as sent. Compression can make a value larger by a
 	// few bytes for each block.
 	maxAnswerBytes = MaxBytes + 4096
