Measure for how long peers have had a newer table

Change: the catalog keeps the versions that peers report and that it does not have, with the time of the first report, until they are in force or the store confirms that there is none; the metric table_behind_seconds shows the oldest. A version that the store does not have no longer counts for ever. Tried and left out: refusing requests once the time for a change has passed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -101,9 +101,8 @@
 	// watchedRevision is the revision from which the table is being watched; zero
 	// while no watch runs.
 	watchedRevision atomic.Uint64
-	// hinted is the highest version of the table that a peer holds and that was newer
-	// than the one in force.
-	hinted atomic.Uint64
+	// announced has the versions that peers have and this entry has not.
+	announced announced
 	// endpointsRevision is the revision up to which the list of endpoints is known,
 	// endpointsChanged that of its last change.
 	endpointsRevision, endpointsChanged atomic.Uint64
@@ -153,7 +152,7 @@
 		onChange:  onChange,
 		missing:   map[string]time.Time{},
 	}
-	res.tableRereads = newRereads(clock, func() bool { return res.hinted.Load() > res.version() })
+	res.tableRereads = newRereads(clock, func() bool { return res.Behind() > 0 })
 	res.endpointsRereads = newRereads(clock, res.endpointsBehind)
 	res.current.Store(&Snapshot{})
 	return res
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -313,6 +313,39 @@
 	})
 }
 
+// Guards against a time behind peers that counts from a version which has been in force
+// since, or that never ends after a report of a version which does not exist.
+func TestBehind(t *testing.T) {
+	d := &fakeDirectory{}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		c.Hint(99)
+		require.Positive(t, c.Behind())
+		time.Sleep(1500 * time.Millisecond)
+		require.Zero(t, c.Behind(), "the directory has no such version")
+
+		d.update(func() { d.err = errDown })
+		for version := uint64(2); version < 5; version++ {
+			d.update(func() { d.table = newTable(t, version) })
+			c.Hint(version)
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.Equal(t, 1500*time.Millisecond, c.Behind(), "since the first newer version")
+
+		d.update(func() { d.err, d.transfer = nil, time.Second })
+		time.Sleep(900 * time.Millisecond)
+		d.update(func() { d.table = newTable(t, 5) })
+		c.Hint(5)
+		for c.Snapshot().Table.Version < 4 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Equal(t, uint64(4), c.Snapshot().Table.Version)
+		require.Positive(t, c.Behind())
+		require.Less(t, c.Behind(), 700*time.Millisecond, "since the version that came meanwhile")
+		time.Sleep(3 * time.Second)
+		require.Zero(t, c.Behind())
+	})
+}
+
 // Guards against an answer that breaks off after it has held back the full read that a
 // hint asked for.
 func TestHintBeforeBrokenAnswer(t *testing.T) {
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -18,22 +18,27 @@
 // Hint reports that a peer holds the given version of the table. If it is newer
 // than the catalog's, the table is read at once, unless it is arriving already.
 func (c *Catalog) Hint(version uint64) {
-	held := c.version()
+	held := uint64(0)
+	if t := c.Snapshot().Table; t != nil {
+		held = t.Version
+	}
 	if version <= held {
 		return
 	}
-	if known := c.hinted.Load(); version > known && c.hinted.CompareAndSwap(known, version) {
+	if c.announced.add(version, c.uptime()) {
 		c.log.Info("peer has a newer table", "version", version, "held", held, "watching", c.watchedRevision.Load() != 0)
 	}
 	c.tableRereads.request()
 }
 
-// version returns the version of the table in force, zero if there is none.
-func (c *Catalog) version() uint64 {
-	if t := c.Snapshot().Table; t != nil {
-		return t.Version
+// Behind returns the time since a peer first reported a table newer than the one in
+// force, zero if none has.
+func (c *Catalog) Behind() time.Duration {
+	at, found := c.announced.first()
+	if !found {
+		return 0
 	}
-	return 0
+	return max(c.uptime()-at, 1)
 }
 
 // Confirm reports that a peer knew the given version of the table to be the newest
@@ -168,6 +173,7 @@
 // uptime than the recorded one is ignored. The caller holds mu.
 func (c *Catalog) confirm(at time.Duration) {
 	c.confirmedAt.Store(max(int64(at), c.confirmedAt.Load(), 1))
+	c.announced.confirm(at)
 }
 
 // adoptTable puts a table in force if it is newer than the current one. Unless it
@@ -183,6 +189,7 @@
 		routes, services, keys := t.Counts()
 		c.log.Info("table in force", "version", t.Version, "routes", routes, "services", services, "keys", keys,
 			"call", call, "bytes", news.Transfer.Bytes, "transfer", news.Transfer.Took, "since", c.uptime()-start)
+		c.announced.adopt(t.Version)
 		c.publish(s)
 	case t.Version < s.Table.Version:
 		c.log.Warn("older table ignored", "version", t.Version, "held", s.Table.Version)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,7 @@
 	}
 	if err := errors.Join(
 		m.Gauge("coordinator", "1 while this gateway grants the slots of its failure domain to others, else 0.", g.coordinates),
+		m.Gauge("table_behind_seconds", "Time since a peer first reported a newer routing table than the one in force, 0 if none has.", func() float64 { return g.catalog.Behind().Seconds() }),
 		m.Gauge("members", "Live gateways that this one knows, itself included.", func() float64 { return float64(1 + len(g.exchange.Peers())) }),
 	); err != nil {
 		return nil, err
