Ignore a report of the table that has just come into force

A report of a version that comes into force between the comparison and the record was kept until the next confirmation; the table was then read once more, and table_behind_seconds showed a gateway behind that was not. Change: the versions that peers report are compared with the one in force under their own lock.

--- a/catalog/announced.go
+++ b/catalog/announced.go
@@ -14,7 +14,9 @@
 // have. The zero value is empty. It is safe for concurrent use.
 type announced struct {
 	mu sync.Mutex
-	// versions is sorted; each is newer than the table in force.
+	// held is the version of the table in force, zero if there is none.
+	held uint64
+	// versions is sorted; each is newer than held.
 	versions []announcement
 }
 
@@ -37,18 +39,19 @@
 	return true
 }
 
-// newest returns the highest version, zero if there is none. The caller holds mu.
+// newest returns the highest version that this entry knows. The caller holds mu.
 func (a *announced) newest() uint64 {
 	if len(a.versions) == 0 {
-		return 0
+		return a.held
 	}
 	return a.versions[len(a.versions)-1].version
 }
 
-// adopt drops the versions that the table in force replaces.
+// adopt records the version of the table in force and drops those that it replaces.
 func (a *announced) adopt(version uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.held = version
 	a.versions = slices.DeleteFunc(a.versions, func(e announcement) bool { return e.version <= version })
 }
 
