--- a/dialect.go
+++ b/dialect.go
@@ -20,6 +20,9 @@
 	// Prompt is the number of prompt tokens, Output the maximum number of
 	// generated tokens.
 	Prompt, Output int
+	// SharedParts identifies the parts of the prompt that other prompts may have too,
+	// in order. Equal parts have equal values.
+	SharedParts []uint64
 }
 
 // Dispatch holds the values that the scheduler adds to a forwarded request.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"damasktrail.dev"
@@ -178,6 +179,8 @@
 		return false
 	}
 	grant.Done(dispatch.Broken, 0)
+	c.g.log.Info("answer lost", "id", c.fields.ID, "endpoint", c.endpoint, "service", c.serviceName, "organisation", c.organisation.Name,
+		"parts", formatParts(c.fields.SharedParts), "events", c.eventCount, "fingerprint", strconv.FormatUint(c.fingerprint, 16), "error", err)
 	if lostReason(err) == damasktrail.ReasonGarbled {
 		c.g.log.Warn("endpoint sends bytes without end", "endpoint", c.endpoint, "error", err)
 	} else {
@@ -190,6 +193,18 @@
 	return false
 }
 
+// formatParts returns the parts of a prompt as hexadecimal numbers.
+func formatParts(parts []uint64) string {
+	var b strings.Builder
+	for i, part := range parts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.FormatUint(part, 16))
+	}
+	return b.String()
+}
+
 // lostReason returns the reason for which an attempt got no complete answer.
 func lostReason(err error) damasktrail.Reason {
 	if errors.Is(err, upstream.ErrTooLong) || errors.Is(err, errLongEvent) {
