Refuse requests with the part of a prompt that crashes endpoints

Cause: a request was recognised only by its whole body, and a crash was recorded only if the gateway that lost the request happened to try the endpoint again within 2 s.

Change: package suspect keeps evidence about features of requests, their parts but the last and the whole. A request lost before its fourth event is evidence if its endpoint refuses a connection just after; a sound answer clears the features of its request. Of the features that crashed requests share, the one in most of the crashes is blamed, and refused after three. Peers tell each other of crashes and answers, so the verdict is that of the fleet. What may be innocent is tried once a second; what has crashed nothing for ten minutes is tried by one gateway. A request that has two crashes blamed on it is not sent again. A stream without length that ends before its first event is lost, not complete: callers got 200 and an empty body.

Why it works: such a part never has a sound answer, all others do.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -22,9 +22,9 @@
 	"damasktrail.dev"
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
-	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
 	"damasktrail.dev/quota"
+	"damasktrail.dev/suspect"
 )
 
 const (
@@ -67,9 +67,9 @@
 	// summariesPerPeerList summaries lists the peers.
 	summaryInterval      = 150 * time.Millisecond
 	summariesPerPeerList = 8
-	// maxSuspects limits the suspects of one summary, so that a report fits into one
-	// packet. A crash of eleven endpoints left eighty suspects.
-	maxSuspects = 16
+	// maxEvidence limits the reports about crashes in one summary, so that a report fits
+	// into one packet. A crash of eleven endpoints concerned eighty requests.
+	maxEvidence = 12
 	// maxPeers limits the memory that datagrams from unknown addresses can take.
 	maxPeers = 1024
 	// maxListedPeers limits the peers that one summary lists, so that a report fits
@@ -97,9 +97,9 @@
 // larger than State and may be older.
 type Summary struct {
 	Usage quota.Usage
-	// Suspects is a sample of the requests that crashed endpoints, a different one
+	// Evidence is a part of what the entry knows of crashes of endpoints, a different one
 	// in each summary.
-	Suspects []frame.Suspect
+	Evidence []suspect.Report
 }
 
 // Peer is one incarnation of another entry.
@@ -116,8 +116,8 @@
 	// State returns the current state of this entry.
 	State() State
 	// Summary returns the current summary of this entry, with at most the given
-	// number of suspects.
-	Summary(suspects int) Summary
+	// number of reports about crashes.
+	Summary(evidence int) Summary
 	// ReceiveState handles the state that a peer reports.
 	ReceiveState(peer Peer, s State)
 	// ReceiveSummary handles the summary that a peer reports.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -17,9 +17,9 @@
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/exchange"
-	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
 	"damasktrail.dev/quota"
+	"damasktrail.dev/suspect"
 	"damasktrail.dev/timer"
 )
 
@@ -55,11 +55,11 @@
 	h.states[peer.String()] = s
 }
 
-func (h *fakeHandler) Summary(suspects int) exchange.Summary {
+func (h *fakeHandler) Summary(evidence int) exchange.Summary {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	res := h.summary
-	res.Suspects = res.Suspects[:min(suspects, len(res.Suspects))]
+	res.Evidence = res.Evidence[:min(evidence, len(res.Evidence))]
 	return res
 }
 
@@ -396,7 +396,8 @@
 		a.handler.summary.Usage[fmt.Sprintf("org%05d", i)] = 1e6
 	}
 	for i := range 80 {
-		a.handler.summary.Suspects = append(a.handler.summary.Suspects, frame.Suspect{Fingerprint: uint64(i) << 56, Crashes: []uint64{1 << 60}, AgeMillis: 1e4})
+		crashes := []suspect.ReportedCrash{{ID: 1 << 31, AgeMillis: 1e4}, {ID: 1 << 30, AgeMillis: 2e4}, {ID: 1 << 29, AgeMillis: 3e4}, {ID: 1 << 28, AgeMillis: 4e4}}
+		a.handler.summary.Evidence = append(a.handler.summary.Evidence, suspect.Report{Feature: uint64(i) << 56, AnsweredMillis: 1e4, Crashes: crashes})
 	}
 	a.handler.mu.Unlock()
 	// The entry reports this often to live peers only, so the peer must send a
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -7,8 +7,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"damasktrail.dev/dispatch"
-	"damasktrail.dev/frame"
 	"damasktrail.dev/quota"
+	"damasktrail.dev/suspect"
 )
 
 // confirmation ends a datagram. With it the receiver dates the sender's table by
@@ -62,29 +62,12 @@
 	Ineligible bool `cbor:"14,keyasint,omitempty"`
 }
 
-// summary is the wire format of Summary.
+// summary is the wire format of Summary. Key 2 is used by earlier versions.
 type summary struct {
-	Usage    quota.Usage `cbor:"1,keyasint,omitempty"`
-	Suspects []suspect   `cbor:"2,keyasint,omitempty"`
+	Usage quota.Usage `cbor:"1,keyasint,omitempty"`
 	// Peers are the addresses of the sender's live peers.
-	Peers []string `cbor:"3,keyasint,omitempty"`
-}
-
-// suspect is the wire format of frame.Suspect, an array without field names.
-type suspect struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint uint64
-	Crashes     []uint64
-	AgeMillis   int64
-}
-
-// toSummary converts the summary from its wire format.
-func (s *summary) toSummary() Summary {
-	res := Summary{Usage: s.Usage}
-	for _, v := range s.Suspects {
-		res.Suspects = append(res.Suspects, frame.Suspect{Fingerprint: v.Fingerprint, Crashes: v.Crashes, AgeMillis: v.AgeMillis})
-	}
-	return res
+	Peers    []string         `cbor:"3,keyasint,omitempty"`
+	Evidence []suspect.Report `cbor:"4,keyasint,omitempty"`
 }
 
 // encodeConfirmation returns the end of a datagram to a peer. It never compares the
@@ -135,11 +118,8 @@
 
 // newSummary returns the current summary in its wire format.
 func (x *Exchange) newSummary(listsPeers bool) *summary {
-	v := x.handler.Summary(maxSuspects)
-	res := &summary{Usage: v.Usage}
-	for _, f := range v.Suspects {
-		res.Suspects = append(res.Suspects, suspect{Fingerprint: f.Fingerprint, Crashes: f.Crashes, AgeMillis: f.AgeMillis})
-	}
+	v := x.handler.Summary(maxEvidence)
+	res := &summary{Usage: v.Usage, Evidence: v.Evidence}
 	if listsPeers {
 		res.Peers = x.listPeers()
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -13,7 +13,6 @@
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/routing"
-	"damasktrail.dev/suspect"
 )
 
 const (
@@ -58,6 +57,11 @@
 	// useless.
 	arrived, deadline time.Time
 	fingerprint       uint64
+	// tried is true if the request is let through to show whether what it has in common
+	// with crashed ones is innocent.
+	tried bool
+	// sentAt is the time of the last attempt.
+	sentAt time.Time
 	// sends is the number of attempts that reached an endpoint.
 	sends int
 	// mayHaveRun is true once an endpoint may have started to run the request.
@@ -185,12 +189,8 @@
 func (c *call) checkAndCharge() *statusError {
 	g := c.g
 	c.fingerprint = fingerprint(c)
-	now := g.clock.Now()
-	g.mu.Lock()
-	crashes := g.suspects.Crashes(c.fingerprint, now)
-	g.mu.Unlock()
-	if crashes >= suspect.PoisonThreshold {
-		return notRunError(http.StatusServiceUnavailable, damasktrail.ReasonPoisoned, 0, "this request has crashed endpoints")
+	if c.refused() {
+		return poisonedError()
 	}
 	if !c.authenticated {
 		return nil
@@ -202,7 +202,7 @@
 			cost = float64(c.fields.Prompt + c.fields.Output)
 		}
 	}
-	wait, ok := g.quotas.Admit(c.organisation.Name, c.route.Tier, cost, now)
+	wait, ok := g.quotas.Admit(c.organisation.Name, c.route.Tier, cost, g.clock.Now())
 	if !ok {
 		return notRunError(http.StatusTooManyRequests, damasktrail.ReasonLimit, wait, "the organisation's quota is used up")
 	}
@@ -210,6 +210,11 @@
 	return nil
 }
 
+// poisonedError returns the refusal of a request that would crash its endpoint.
+func poisonedError() *statusError {
+	return notRunError(http.StatusServiceUnavailable, damasktrail.ReasonPoisoned, 0, "this request, or a part of its prompt, has crashed endpoints")
+}
+
 // fingerprint returns a hash by which the same request is recognised when it is
 // sent again.
 func fingerprint(c *call) uint64 {
@@ -239,5 +244,10 @@
 	if refusal != nil {
 		return nil, &statusError{code: http.StatusServiceUnavailable, refusal: refusal}
 	}
+	// Other requests may have crashed endpoints while this one waited.
+	if c.refused() {
+		grant.Done(dispatch.Cancelled, 0)
+		return nil, poisonedError()
+	}
 	return grant, nil
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -1,25 +1,36 @@
 package gateway
 
 import (
-	"math/rand/v2"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"syscall"
 	"time"
+
+	"damasktrail.dev/fleet"
+	"damasktrail.dev/suspect"
 )
 
-// crashWindow is how long after a lost answer a refused connection is attributed to
-// the same crash. An endpoint whose connection broke is tried again after half a
-// second.
-const crashWindow = 2 * time.Second
+const (
+	// crashWindow is how long after a lost answer a refused connection is attributed to
+	// the same crash.
+	crashWindow = 2 * time.Second
+	// soundEvents is the number of events after which the answer of a stream counts as
+	// sound. An endpoint that crashes under a prompt does so when it begins to answer.
+	soundEvents = 4
+)
 
-// lostRequest is a request whose connection broke while an endpoint was handling
-// it.
+// lostRequest is a request that may have crashed its endpoint.
 type lostRequest struct {
-	fingerprint uint64
-	at          time.Time
+	features suspect.Request
+	at       time.Time
 }
 
-// lostRequests keeps lost requests until it is known whether their endpoint crashed
-// or only the connection broke. It has one owner and is not safe for concurrent
-// use.
+// lostRequests keeps requests that were lost before their answers had begun until it is
+// known whether their endpoint crashed or only the connection broke. It has one owner
+// and is not safe for concurrent use.
 type lostRequests struct {
 	byEndpoint map[string][]lostRequest
 }
@@ -27,55 +38,152 @@
 func newLostRequests() *lostRequests { return &lostRequests{byEndpoint: map[string][]lostRequest{}} }
 
 // add records a request that was lost at an endpoint.
-func (l *lostRequests) add(endpoint string, fingerprint uint64, now time.Time) {
-	l.byEndpoint[endpoint] = append(l.byEndpoint[endpoint], lostRequest{fingerprint: fingerprint, at: now})
-}
-
-// clear drops the lost requests of an endpoint that has answered and so has not
-// crashed.
-func (l *lostRequests) clear(endpoint string) { delete(l.byEndpoint, endpoint) }
-
-// takeRecent removes all lost requests of an endpoint that accepts no connections.
-// It returns those lost within crashWindow, which the endpoint was handling when it
-// crashed.
-func (l *lostRequests) takeRecent(endpoint string, now time.Time) []uint64 {
-	var res []uint64
-	for _, x := range l.byEndpoint[endpoint] {
-		if now.Sub(x.at) <= crashWindow {
-			res = append(res, x.fingerprint)
-		}
+func (l *lostRequests) add(endpoint string, features suspect.Request, now time.Time) {
+	l.byEndpoint[endpoint] = append(l.byEndpoint[endpoint], lostRequest{features: features, at: now})
+}
+
+// clear drops the requests that an endpoint lost before the given time. It has answered
+// a request that it got later, and so has not crashed.
+func (l *lostRequests) clear(endpoint string, before time.Time) {
+	l.keep(endpoint, func(x lostRequest) bool { return !x.at.Before(before) })
+}
+
+// expire drops the requests that were lost longer ago than crashWindow.
+func (l *lostRequests) expire(now time.Time) {
+	for endpoint := range l.byEndpoint {
+		l.keep(endpoint, func(x lostRequest) bool { return now.Sub(x.at) <= crashWindow })
 	}
+}
+
+// keep drops the lost requests of an endpoint for which f does not hold.
+func (l *lostRequests) keep(endpoint string, f func(lostRequest) bool) {
+	lost := slices.DeleteFunc(l.byEndpoint[endpoint], func(x lostRequest) bool { return !f(x) })
+	if len(lost) == 0 {
+		delete(l.byEndpoint, endpoint)
+		return
+	}
+	l.byEndpoint[endpoint] = lost
+}
+
+// take removes and returns the lost requests of an endpoint that accepts no
+// connections.
+func (l *lostRequests) take(endpoint string) []lostRequest {
+	res := l.byEndpoint[endpoint]
 	delete(l.byEndpoint, endpoint)
 	return res
 }
 
-// recordLoss records a request whose connection to an endpoint broke.
-func (g *Gateway) recordLoss(endpoint string, fingerprint uint64) {
+// crashID identifies the incarnation of an endpoint alike at all gateways.
+func crashID(e fleet.Endpoint) uint32 {
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, e.ID, " ", e.Address, " ", e.StartedMillis)
+	return h.Sum32()
+}
+
+// features returns what the request may have in common with others.
+func (c *call) features() suspect.Request {
+	return suspect.Request{Whole: c.fingerprint, Parts: c.fields.SharedParts}
+}
+
+// recordLoss records that the request was lost at its endpoint before the answer had
+// begun. It reports whether the endpoint has crashed.
+func (c *call) recordLoss(ctx context.Context, e fleet.Endpoint) bool {
+	g := c.g
+	g.mu.Lock()
+	g.lostRequests.add(e.ID, c.features(), g.clock.Now())
+	g.mu.Unlock()
+	// A caller that leaves meanwhile does not end the check.
+	err := g.pool.Probe(context.WithoutCancel(ctx), e)
+	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	if crashed {
+		g.recordUnreachable(e)
+	}
+	return crashed
+}
+
+// recordSound records that the answer to the request is sound or has begun so.
+func (c *call) recordSound() {
+	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lostRequests.add(endpoint, fingerprint, g.clock.Now())
+	g.evidence.AddAnswer(c.features(), g.clock.Now())
 }
 
-// recordAnswer records that an endpoint has answered.
-func (g *Gateway) recordAnswer(endpoint string) {
+// recordAnswer records a complete answer of an endpoint to an attempt that was sent at
+// the given time. If only the end of the connection ended it, it may have been cut off
+// by a crash.
+func (c *call) recordAnswer(endpoint string, sent time.Time, delimited bool) {
+	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lostRequests.clear(endpoint)
+	now := g.clock.Now()
+	if !delimited {
+		g.lostRequests.add(endpoint, c.features(), now)
+		return
+	}
+	g.lostRequests.clear(endpoint, sent)
+	g.evidence.AddAnswer(c.features(), now)
 }
 
 // recordUnreachable records that an endpoint accepts no connections. The requests
 // that it lost shortly before are suspected of having crashed it.
-func (g *Gateway) recordUnreachable(endpoint string) {
+func (g *Gateway) recordUnreachable(e fleet.Endpoint) {
 	now := g.clock.Now()
-	crashID := rand.Uint64()
 	g.mu.Lock()
-	fingerprints := g.lostRequests.takeRecent(endpoint, now)
-	for _, f := range fingerprints {
-		g.suspects.Add(f, crashID, now)
+	g.lostRequests.expire(now)
+	lost := g.lostRequests.take(e.ID)
+	for _, x := range lost {
+		g.evidence.AddCrash(x.features, crashID(e), now)
+	}
+	g.mu.Unlock()
+	if len(lost) == 0 {
+		return
+	}
+	g.log.Warn("endpoint crashed", "endpoint", e.ID, "suspects", len(lost))
+	g.exchange.Changed(true)
+}
+
+// refused reports whether the request is refused because of earlier crashes.
+func (c *call) refused() bool {
+	if c.tried {
+		return false
 	}
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verdict := g.evidence.Judge(c.features(), g.clock.Now(), g.probes)
+	c.tried = verdict == suspect.Try
+	return verdict == suspect.Refuse
+}
+
+// suspected reports whether the request should not be sent again after a loss.
+func (c *call) suspected() bool {
+	g := c.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.Suspected(c.features())
+}
+
+// probes reports whether this gateway is the one that tries a feature again after a
+// long time. Each live gateway has its share of the features.
+func (g *Gateway) probes(f suspect.Feature) bool {
+	rank := func(name string) uint64 {
+		h := fnv.New64a()
+		_, _ = fmt.Fprint(h, name, " ", f)
+		return h.Sum64()
+	}
+	own := rank(g.settings.Name)
+	return !slices.ContainsFunc(g.exchange.Peers(), func(peer string) bool { return rank(peer) > own })
+}
+
+// logRefusedParts logs changes of the parts of prompts that are refused.
+func (g *Gateway) logRefusedParts(time.Time) {
+	g.mu.Lock()
+	parts := g.evidence.Parts()
+	before := g.refusedParts
+	g.refusedParts = parts
 	g.mu.Unlock()
-	if len(fingerprints) > 0 {
-		g.log.Warn("endpoint crashed", "endpoint", endpoint, "suspects", len(fingerprints))
-		g.exchange.Changed(true)
+	if !slices.Equal(parts, before) {
+		g.log.Warn("parts of prompts refused", "parts", formatParts(parts), "before", formatParts(before))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,9 @@
 	maxHeaderBytes = 64 << 10
 	// housekeepingInterval is the time between checks for expired state.
 	housekeepingInterval = 20 * time.Millisecond
+	// refusedPartsInterval is the time between checks for parts of prompts that are newly
+	// refused, which are logged.
+	refusedPartsInterval = time.Second
 	// staleWatchMargin is how much older a reading of the directory may be than its
 	// measured age: a watch can miss changes for a second before it is closed.
 	staleWatchMargin = 1200 * time.Millisecond
@@ -89,8 +92,10 @@
 
 	// mu guards the fields below.
 	mu           sync.Mutex
-	suspects     *suspect.List
+	evidence     *suspect.Evidence
 	lostRequests *lostRequests
+	// refusedParts has the parts of prompts that were refused when last logged.
+	refusedParts []suspect.Feature
 	// retryShares has the retry share of each service by name.
 	retryShares map[string]*budget.Share
 }
@@ -109,7 +114,7 @@
 	g := &Gateway{
 		settings: s, dialect: dialect, clock: clock, tasks: tasks, log: log, metrics: m,
 		quotas:       quota.New(),
-		suspects:     suspect.New(),
+		evidence:     suspect.NewEvidence(),
 		lostRequests: newLostRequests(),
 		retryShares:  map[string]*budget.Share{},
 	}
@@ -166,10 +171,12 @@
 	g.catalog.Start(g.tasks)
 	g.exchange.Start(g.tasks)
 	cancel, cancelHoldings := g.clock.Subscribe(housekeepingInterval, g.tick), g.slots.Start()
+	cancelLog := g.clock.Subscribe(refusedPartsInterval, g.logRefusedParts)
 	g.tasks.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		cancel()
 		cancelHoldings()
+		cancelLog()
 	})
 	g.log.Info("started", "name", g.settings.Name, "domain", g.settings.Domain, "callers", g.settings.Callers, "peers", g.settings.Peers,
 		"seeds", g.settings.Seeds, "directory", g.settings.Directory, "authenticated", false)
@@ -182,7 +189,8 @@
 	g.pool.Expire(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.suspects.Expire(now)
+	g.lostRequests.expire(now)
+	g.evidence.Expire(now)
 }
 
 // applySnapshot applies a new snapshot of the catalog to the components.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -85,11 +85,11 @@
 }
 
 // Summary implements exchange.Handler.
-func (h exchangeHandler) Summary(suspects int) exchange.Summary {
+func (h exchangeHandler) Summary(evidence int) exchange.Summary {
 	g := h.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return exchange.Summary{Usage: g.quotas.Usage(), Suspects: g.suspects.Sample(g.clock.Now(), suspects)}
+	return exchange.Summary{Usage: g.quotas.Usage(), Evidence: g.evidence.Report(g.clock.Now(), evidence)}
 }
 
 // ReceiveState implements exchange.Handler.
@@ -107,12 +107,12 @@
 func (h exchangeHandler) ReceiveSummary(peer exchange.Peer, s exchange.Summary) {
 	g := h.g
 	g.quotas.SetPeerUsage(peer.String(), s.Usage, g.clock.Now())
-	if len(s.Suspects) == 0 {
+	if len(s.Evidence) == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.suspects.Merge(s.Suspects, g.clock.Now())
+	g.evidence.Merge(s.Evidence, g.clock.Now())
 }
 
 // ReceiveDatagram implements exchange.Handler.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -16,6 +16,10 @@
 // errCallerGone is returned when the answer cannot be written to the caller.
 var errCallerGone = errors.New("the caller left")
 
+// errNoEvent is returned when the connection ends before the first event of a stream
+// that says not otherwise where it ends.
+var errNoEvent = errors.New("connection ended before the first event")
+
 // minPaceEvents is the least number of events from which the pace of a stream is
 // measured.
 const minPaceEvents = 4
@@ -91,6 +95,9 @@
 	for {
 		b, err := s.next()
 		if errors.Is(err, io.EOF) {
+			if r.attemptEvents == 0 && !a.Delimited() {
+				return errNoEvent
+			}
 			if !r.headerSent {
 				r.writeHeader(a)
 			}
@@ -108,6 +115,9 @@
 			r.call.timeToFirstByte = now.Sub(r.call.arrived)
 			r.writeHeader(a)
 		}
+		if r.attemptEvents < soundEvents && r.attemptEvents+b.count >= soundEvents {
+			r.call.recordSound()
+		}
 		r.attemptEvents += b.count
 		r.call.eventCount += b.count
 		r.lastEventTime = now
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -63,7 +63,7 @@
 			var failure *upstream.Error
 			if errors.As(err, &failure) && !failure.Sent && ctx.Err() == nil {
 				grant.Done(dispatch.Unreachable, 0)
-				c.g.recordUnreachable(c.endpoint)
+				c.g.recordUnreachable(grant.Endpoint)
 				failedDials++
 				if failedDials < maxDials {
 					c.recordRetry(grant, damasktrail.ReasonLost, err)
@@ -73,7 +73,7 @@
 				return
 			}
 			c.mayHaveRun = true
-			if c.handleLost(ctx, grant, err) {
+			if c.handleLost(ctx, grant, err, false) {
 				continue
 			}
 			c.finish(ctx, out, c.unknownOutcome(ctx, err))
@@ -104,6 +104,7 @@
 	if target == "" || target[0] != '/' {
 		target = c.request.URL.RequestURI()
 	}
+	c.sentAt = g.clock.Now()
 	a, err := g.pool.Do(ctx, grant.Endpoint, upstream.Call{
 		Method: c.request.Method, Target: target, Host: c.request.Host, Header: header, Body: c.body,
 		Matches: func(code int, h http.Header) bool {
@@ -129,7 +130,7 @@
 	c.mayHaveRun = true
 	if a.Header.Get("Content-Encoding") != "" {
 		err := errors.New("answer has an encoding that nobody asked for")
-		return c.handleLost(ctx, grant, err), c.unknownOutcome(ctx, err)
+		return c.handleLost(ctx, grant, err, true), c.unknownOutcome(ctx, err)
 	}
 	if a.Status >= http.StatusInternalServerError && !out.headerSent && c.route.Repeatable() && c.takeRetry() {
 		a.Discard()
@@ -143,14 +144,14 @@
 		grant.Done(dispatch.Failed, 0)
 		return false, nil
 	case err == nil:
-		c.g.recordAnswer(c.endpoint)
+		c.recordAnswer(c.endpoint, c.sentAt, a.Delimited())
 		grant.Done(dispatch.Answered, out.pace())
 		return false, nil
 	case errors.Is(err, errCallerGone):
 		grant.Done(dispatch.Cancelled, 0)
 		return false, c.unknownOutcome(ctx, err)
 	}
-	return c.handleLost(ctx, grant, err), c.unknownOutcome(ctx, err)
+	return c.handleLost(ctx, grant, err, out.attemptEvents >= soundEvents), c.unknownOutcome(ctx, err)
 }
 
 // handleNotRun handles an endpoint's answer that it did not run the request.
@@ -172,21 +173,23 @@
 }
 
 // handleLost handles an attempt that ended without a complete answer, and reports
-// whether the request is to be sent again.
-func (c *call) handleLost(ctx context.Context, grant *coordinator.Slot, err error) bool {
+// whether the request is to be sent again. begun says that the answer was sound until
+// then, so that it is not the request that crashed the endpoint.
+func (c *call) handleLost(ctx context.Context, grant *coordinator.Slot, err error, begun bool) bool {
 	if ctx.Err() != nil {
 		grant.Done(dispatch.Cancelled, 0)
 		return false
 	}
-	grant.Done(dispatch.Broken, 0)
 	c.g.log.Info("answer lost", "id", c.fields.ID, "endpoint", c.endpoint, "service", c.serviceName, "organisation", c.organisation.Name,
 		"parts", formatParts(c.fields.SharedParts), "events", c.eventCount, "fingerprint", strconv.FormatUint(c.fingerprint, 16), "error", err)
+	result := dispatch.Broken
 	if lostReason(err) == damasktrail.ReasonGarbled {
 		c.g.log.Warn("endpoint sends bytes without end", "endpoint", c.endpoint, "error", err)
-	} else {
-		c.g.recordLoss(c.endpoint, c.fingerprint)
+	} else if !begun && c.recordLoss(ctx, grant.Endpoint) {
+		result = dispatch.Unreachable
 	}
-	if c.route.Repeatable() && c.takeRetry() {
+	grant.Done(result, 0)
+	if ctx.Err() == nil && c.route.Repeatable() && !c.suspected() && c.takeRetry() {
 		c.recordRetry(grant, lostReason(err), err)
 		return true
 	}
--- /dev/null
+++ b/suspect/evidence.go
@@ -0,0 +1,432 @@
+package suspect
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// partThreshold is the number of crashes that must be blamed on a part of prompts
+	// before requests with it are refused. It leaves two of the five crashes that a
+	// fleet may have for those that no gateway could record.
+	partThreshold = 3
+	// minCrashSpacing is the least time between two crashes that count apart. Endpoints
+	// that go down together say little of the requests that wait there.
+	minCrashSpacing = 250 * time.Millisecond
+	// restartTime is the least time between two crashes of one endpoint. Reports of the
+	// same crash differ by less.
+	restartTime = 1500 * time.Millisecond
+	// soundMargin is how long before a crash a sound answer to a request with a feature
+	// excludes that feature as its cause.
+	soundMargin = time.Second
+	// ProbeInterval is the time after the latest crash after which a request with a
+	// refused feature is let through again.
+	ProbeInterval = 10 * time.Minute
+	// tieProbeInterval is the time between two requests that are let through because the
+	// crashes blamed on their feature can be those of another.
+	tieProbeInterval = time.Second
+	// recordRetention is how long a record is kept after its latest crash, clearedRetention
+	// after the answer that cleared it.
+	recordRetention  = 2 * ProbeInterval
+	clearedRetention = time.Minute
+	// maxFeatures bounds the records, maxAnswered the features with a recent answer, and
+	// maxCrashes the crashes of one record.
+	maxFeatures = 4096
+	maxAnswered = 4096
+	maxCrashes  = 8
+	// evictionSample is the number of records of which one makes room for another.
+	evictionSample = 16
+	// maxReportedCrashes bounds the crashes of one record in a report.
+	maxReportedCrashes = 4
+	// expiryInterval is the least time between two searches for old records.
+	expiryInterval = time.Second
+)
+
+// Feature is a hash of something that requests have in common: a part of their
+// prompts, or the whole request.
+type Feature = uint64
+
+// Request holds the features of one request.
+type Request struct {
+	// Whole identifies the request when it is sent again.
+	Whole Feature
+	// Parts are the parts of its prompt that other prompts may have too.
+	Parts []Feature
+}
+
+// features returns all features.
+func (r Request) features() []Feature { return append([]Feature{r.Whole}, r.Parts...) }
+
+// has reports whether the request has the feature.
+func (r Request) has(f Feature) bool { return f == r.Whole || slices.Contains(r.Parts, f) }
+
+// threshold returns the number of blamed crashes from which on the feature is refused.
+func (r Request) threshold(f Feature) int {
+	if f == r.Whole {
+		return PoisonThreshold
+	}
+	return partThreshold
+}
+
+// Crash is one crash of an endpoint.
+type Crash struct {
+	// ID identifies the incarnation of the endpoint. All gateways use the same.
+	ID uint32
+	At time.Time
+}
+
+// same reports whether both are reports of the same crash.
+func (c Crash) same(o Crash) bool { return c.ID == o.ID && c.At.Sub(o.At).Abs() < restartTime }
+
+// Verdict is the decision about a request.
+type Verdict int
+
+const (
+	// Accept means that nothing speaks against the request.
+	Accept Verdict = iota
+	// Try means that the request may show that its features are innocent.
+	Try
+	// Refuse means that the request would crash its endpoint.
+	Refuse
+)
+
+// Report is what a gateway tells its peers about one feature.
+type Report struct {
+	_       struct{} `cbor:",toarray"`
+	Feature Feature
+	// AnsweredMillis is the age of the latest sound answer in milliseconds, -1 if there
+	// was none.
+	AnsweredMillis int64
+	Crashes        []ReportedCrash
+}
+
+// ReportedCrash is a Crash with its age in milliseconds.
+type ReportedCrash struct {
+	_         struct{} `cbor:",toarray"`
+	ID        uint32
+	AgeMillis int64
+}
+
+// featureRecord is what is known of a feature that a lost request had.
+type featureRecord struct {
+	// crashes are sorted by time and at most maxCrashes.
+	crashes []Crash
+	// answered is the time of the latest sound answer to a request with the feature.
+	answered time.Time
+	// changed is the time of the last change of this record here.
+	changed time.Time
+	// tried is the time at which a request was last let through.
+	tried time.Time
+}
+
+// counted returns the crashes that no sound answer excludes.
+func (r *featureRecord) counted() []Crash {
+	if r.answered.IsZero() {
+		return r.crashes
+	}
+	end := r.answered.Add(soundMargin)
+	i := slices.IndexFunc(r.crashes, func(c Crash) bool { return c.At.After(end) })
+	if i < 0 {
+		return nil
+	}
+	return r.crashes[i:]
+}
+
+// count returns the number of counted crashes that are minCrashSpacing apart.
+func (r *featureRecord) count() int { return len(spaced(r.counted())) }
+
+// latest returns the time of the latest crash.
+func (r *featureRecord) latest() time.Time { return r.crashes[len(r.crashes)-1].At }
+
+// add adds a crash and reports whether it is new.
+func (r *featureRecord) add(c Crash) bool {
+	if slices.ContainsFunc(r.crashes, c.same) {
+		return false
+	}
+	i, _ := slices.BinarySearchFunc(r.crashes, c.At, func(e Crash, at time.Time) int { return e.At.Compare(at) })
+	r.crashes = slices.Insert(r.crashes, i, c)
+	if len(r.crashes) > maxCrashes {
+		r.crashes = slices.Delete(r.crashes, 0, 1)
+		return i > 0
+	}
+	return true
+}
+
+// answer records a sound answer.
+func (r *featureRecord) answer(at, now time.Time) {
+	if r.count() > 0 {
+		r.changed = now
+	}
+	if at.After(r.answered) {
+		r.answered = at
+	}
+}
+
+// spaced returns crashes that are at least minCrashSpacing apart, the latest first.
+func spaced(crashes []Crash) []Crash {
+	var res []Crash
+	for _, c := range slices.Backward(crashes) {
+		if len(res) == 0 || res[len(res)-1].At.Sub(c.At) >= minCrashSpacing {
+			res = append(res, c)
+		}
+	}
+	return res
+}
+
+// Evidence relates crashes of endpoints to the features of the requests that were lost
+// there before their answers had begun. A request that crashes its endpoints never
+// gets a sound answer; so of the features that crashed requests have in common, the one
+// that is in most of the crashes and in no sound answer is refused. It is not safe for
+// concurrent use.
+type Evidence struct {
+	records map[Feature]*featureRecord
+	// answered has the time of the latest sound answer of features without a record.
+	answered map[Feature]time.Time
+	// expired is the time of the last search for old records.
+	expired time.Time
+}
+
+// NewEvidence returns evidence of no crash.
+func NewEvidence() *Evidence {
+	return &Evidence{records: map[Feature]*featureRecord{}, answered: map[Feature]time.Time{}}
+}
+
+// AddCrash records that the request was lost at a crash before its answer had begun.
+func (e *Evidence) AddCrash(r Request, id uint32, now time.Time) {
+	for _, f := range r.features() {
+		if x := e.record(f, now); x.add(Crash{ID: id, At: now}) {
+			x.changed = now
+		}
+	}
+}
+
+// record returns the record of a feature and creates it on first use.
+func (e *Evidence) record(f Feature, now time.Time) *featureRecord {
+	x := e.records[f]
+	if x != nil {
+		return x
+	}
+	if len(e.records) >= maxFeatures {
+		e.evict()
+	}
+	x = &featureRecord{answered: e.answered[f], changed: now}
+	delete(e.answered, f)
+	e.records[f] = x
+	return x
+}
+
+// evict removes, of a few records, the one with the fewest crashes, of several the one
+// that has not changed for longest.
+func (e *Evidence) evict() {
+	var victim Feature
+	var least *featureRecord
+	seen := 0
+	for f, x := range e.records {
+		if least == nil || cmp.Or(cmp.Compare(x.count(), least.count()), x.changed.Compare(least.changed)) < 0 {
+			victim, least = f, x
+		}
+		if seen++; seen == evictionSample {
+			break
+		}
+	}
+	delete(e.records, victim)
+}
+
+// AddAnswer records that the request got a sound answer, or the begin of one.
+func (e *Evidence) AddAnswer(r Request, now time.Time) {
+	for _, f := range r.features() {
+		if x := e.records[f]; x != nil {
+			x.answer(now, now)
+			continue
+		}
+		if f == r.Whole {
+			continue // An answered request is not sent again.
+		}
+		if len(e.answered) >= maxAnswered {
+			for old := range e.answered { // any
+				delete(e.answered, old)
+				break
+			}
+		}
+		e.answered[f] = now
+	}
+}
+
+// Merge adds what a peer reports.
+func (e *Evidence) Merge(reported []Report, now time.Time) {
+	for _, p := range reported {
+		crashes := slices.DeleteFunc(slices.Clone(p.Crashes), func(c ReportedCrash) bool { return !validAge(c.AgeMillis) })
+		if len(crashes) == 0 {
+			continue
+		}
+		x := e.record(p.Feature, now)
+		for _, c := range crashes {
+			if x.add(Crash{ID: c.ID, At: dated(c.AgeMillis, now)}) {
+				x.changed = now
+			}
+		}
+		if validAge(p.AnsweredMillis) {
+			x.answer(dated(p.AnsweredMillis, now), now)
+		}
+	}
+}
+
+// validAge reports whether a reported age is that of something that is still kept.
+func validAge(millis int64) bool { return millis >= 0 && millis < recordRetention.Milliseconds() }
+
+// dated returns the time that was the given number of milliseconds ago.
+func dated(ageMillis int64, now time.Time) time.Time {
+	return now.Add(-time.Duration(ageMillis) * time.Millisecond)
+}
+
+// Report returns at most limit records for peers: those with several crashes first,
+// then those that changed last, and a few others at random.
+func (e *Evidence) Report(now time.Time, limit int) []Report {
+	type entry struct {
+		feature Feature
+		record  *featureRecord
+	}
+	all := make([]entry, 0, len(e.records))
+	for f, x := range e.records {
+		all = append(all, entry{f, x})
+	}
+	slices.SortFunc(all, func(a, b entry) int {
+		several := func(x *featureRecord) int { return min(len(x.crashes), PoisonThreshold) }
+		return cmp.Or(cmp.Compare(several(b.record), several(a.record)), b.record.changed.Compare(a.record.changed))
+	})
+	if len(all) > limit {
+		others := all[limit*3/4:]
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		all = all[:limit]
+	}
+	res := make([]Report, 0, len(all))
+	for _, a := range all {
+		res = append(res, a.record.report(a.feature, now))
+	}
+	return res
+}
+
+// report returns the record as a message.
+func (r *featureRecord) report(f Feature, now time.Time) Report {
+	res := Report{Feature: f, AnsweredMillis: -1}
+	if !r.answered.IsZero() {
+		res.AnsweredMillis = now.Sub(r.answered).Milliseconds()
+	}
+	crashes := spaced(r.crashes)
+	for _, c := range crashes[:min(len(crashes), maxReportedCrashes)] {
+		res.Crashes = append(res.Crashes, ReportedCrash{ID: c.ID, AgeMillis: now.Sub(c.At).Milliseconds()})
+	}
+	return res
+}
+
+// blamed returns the crashes blamed on a feature, those in which no other feature is
+// that has more, or nil if there are fewer than least.
+func (e *Evidence) blamed(f Feature, least int) []Crash {
+	x := e.records[f]
+	if x == nil || x.count() < least {
+		return nil
+	}
+	count := x.count()
+	var res []Crash
+	for _, c := range x.counted() {
+		explained := e.anyOther(f, c, func(_ Feature, other int) bool { return other > count })
+		if !explained {
+			res = append(res, c)
+		}
+	}
+	if res = spaced(res); len(res) < least {
+		return nil
+	}
+	return res
+}
+
+// anyOther reports whether f holds for another feature that the crash counts for and
+// the number of its crashes.
+func (e *Evidence) anyOther(of Feature, c Crash, f func(other Feature, count int) bool) bool {
+	for other, x := range e.records {
+		if other != of && slices.ContainsFunc(x.counted(), c.same) && f(other, x.count()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspected reports whether the request has a feature with two crashes blamed on it, so
+// that it should not be sent to one more endpoint after it was lost.
+func (e *Evidence) Suspected(r Request) bool {
+	return slices.ContainsFunc(r.features(), func(f Feature) bool { return e.blamed(f, PoisonThreshold) != nil })
+}
+
+// Judge decides about a request by the crashes that are blamed on its features. A
+// request whose features can be innocent is tried now and then, and so is one after
+// ProbeInterval without a crash if owner reports that this gateway may try the feature.
+func (e *Evidence) Judge(r Request, now time.Time, owner func(Feature) bool) Verdict {
+	var tried []*featureRecord
+	for _, f := range r.features() {
+		blamed := e.blamed(f, r.threshold(f))
+		if blamed == nil {
+			continue
+		}
+		x := e.records[f]
+		switch {
+		case now.Sub(x.tried) < tieProbeInterval:
+			return Refuse
+		case e.tied(f, blamed, r):
+		case now.Sub(x.latest()) < ProbeInterval || now.Sub(x.tried) < ProbeInterval || !owner(f):
+			return Refuse
+		}
+		tried = append(tried, x)
+	}
+	for _, x := range tried {
+		x.tried = now
+	}
+	if len(tried) > 0 {
+		return Try
+	}
+	return Accept
+}
+
+// tied reports whether each crash blamed on a feature can be blamed as well on another
+// one that the request does not have.
+func (e *Evidence) tied(f Feature, blamed []Crash, r Request) bool {
+	count := e.records[f].count()
+	for _, c := range blamed {
+		if !e.anyOther(f, c, func(other Feature, n int) bool { return n >= count && !r.has(other) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Parts returns the features that are refused as parts of prompts, sorted.
+func (e *Evidence) Parts() []Feature {
+	var res []Feature
+	for f := range e.records {
+		if e.blamed(f, partThreshold) != nil {
+			res = append(res, f)
+		}
+	}
+	slices.Sort(res)
+	return res
+}
+
+// Expire removes old records. It does nothing when it was called shortly before.
+func (e *Evidence) Expire(now time.Time) {
+	if now.Sub(e.expired) < expiryInterval {
+		return
+	}
+	e.expired = now
+	for f, x := range e.records {
+		cleared := x.count() == 0 && now.Sub(x.answered) >= clearedRetention
+		if cleared || now.Sub(x.latest()) >= recordRetention {
+			delete(e.records, f)
+		}
+	}
+	for f, at := range e.answered {
+		if now.Sub(at) >= 2*soundMargin {
+			delete(e.answered, f)
+		}
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -268,6 +268,12 @@
 	return n, err
 }
 
+// Delimited reports whether the answer itself says where it ends. Any other ends with
+// its connection, and a crash of the endpoint can look like that.
+func (a *Answer) Delimited() bool {
+	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
+}
+
 // Discard reads the rest of the body, so that the connection can be used again. It
 // gives up when the rest is long or late.
 func (a *Answer) Discard() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -35,6 +35,10 @@
 	// less idleMargin, so that the pool closes it before the endpoint does.
 	defaultIdleTimeout = 4 * time.Second
 	idleMargin         = time.Second
+	// probeTimeout bounds the handshake of a probe, probeWait is how long its connection
+	// must stay open. An endpoint that crashes may close its listener last.
+	probeTimeout = 150 * time.Millisecond
+	probeWait    = 10 * time.Millisecond
 	// maxIdleConns bounds the idle connections to one endpoint.
 	maxIdleConns = 32
 )
@@ -170,7 +174,7 @@
 	for {
 		c := p.pop(k)
 		if c == nil {
-			return p.dial(ctx, k)
+			return p.dial(ctx, k, dialTimeout)
 		}
 		if p.clock.Now().Before(c.expires) && c.reusable() {
 			c.sent = false
@@ -208,9 +212,35 @@
 	}
 }
 
-func (p *Pool) dial(ctx context.Context, k key) (*conn, error) {
+// Probe opens a connection to an endpoint and keeps it for a later request. It returns
+// an error if the endpoint accepts none or closes it at once, as after a crash.
+func (p *Pool) Probe(ctx context.Context, e fleet.Endpoint) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("probe %s: %w", e.Address, err)
+		}
+	}()
+	for {
+		c, err := p.dial(ctx, keyOf(e), probeTimeout)
+		if err != nil {
+			return err
+		}
+		if err := p.clock.Sleep(ctx, probeWait); err != nil {
+			c.close()
+			return err
+		}
+		if c.reusable() {
+			c.expires = p.clock.Now().Add(defaultIdleTimeout)
+			p.release(c)
+			return nil
+		}
+		c.close()
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, k key, timeout time.Duration) (*conn, error) {
 	d := net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: int(tcpUserTimeout / keepAliveInterval),
 		},
