Do not take an earlier refusal for the answer to a later request

Callers would see 503 'not run' for a request that runs, and one that may run once would run twice: an endpoint that writes an earlier refusal once more on a kept connection was believed if the refusal had no ID, or if the same request had been refused there before (report of other operators).

Change: a response without an ID counts only on a connection that has carried no other request, and a request is not sent twice on one connection.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -106,11 +106,8 @@
 	}
 	c.sentAt = g.clock.Now()
 	a, err := g.pool.Do(ctx, grant.Endpoint, upstream.Call{
-		Method: c.request.Method, Target: target, Host: c.request.Host, Header: header, Body: c.body,
-		Matches: func(code int, h http.Header) bool {
-			f := g.dialect.Answer(code, h)
-			return f.ID == c.fields.ID || f.ID == "" && f.NotRun
-		},
+		ID: c.fields.ID, Method: c.request.Method, Target: target, Host: c.request.Host, Header: header, Body: c.body,
+		Matches: c.match,
 	})
 	var failure *upstream.Error
 	if err == nil || errors.As(err, &failure) && failure.Sent {
@@ -119,6 +116,19 @@
 	return a, err
 }
 
+// match says whether an answer of an endpoint belongs to the request. A refusal may lack
+// the ID.
+func (c *call) match(status int, h http.Header) upstream.Match {
+	f := c.g.dialect.Answer(status, h)
+	switch {
+	case f.ID == c.fields.ID:
+		return upstream.Own
+	case f.ID == "" && f.NotRun:
+		return upstream.Unnamed
+	}
+	return upstream.Other
+}
+
 // handleAnswer relays an answer. It reports whether the request is to be sent
 // again; otherwise the error, if any, says why the answer was not relayed.
 func (c *call) handleAnswer(ctx context.Context, grant *coordinator.Slot, a *upstream.Answer, out *relay) (again bool, st *statusError) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -71,7 +71,10 @@
 	reader  *bufio.Reader
 	expires time.Time
 	// sent reports whether any byte of the current request may have been sent.
-	sent      bool
+	sent bool
+	// used is true once a request was sent, lastID is the ID of the last one.
+	used      bool
+	lastID    string
 	closeOnce sync.Once
 }
 
@@ -123,8 +126,10 @@
 // connection if ctx ends.
 func (c *conn) do(ctx context.Context, call Call) (*Answer, error) {
 	stop := context.AfterFunc(ctx, c.close)
+	reused := c.used
+	c.used, c.lastID = true, call.ID
 	written := c.write(call)
-	response, err := c.response(call) //nolint:bodyclose // Answer.Close closes the connection.
+	response, err := c.response(call, reused) //nolint:bodyclose // Answer.Close closes the connection.
 	if err != nil {
 		stop()
 		if errors.Is(err, io.EOF) {
@@ -159,8 +164,9 @@
 }
 
 // response reads the header of the response to this request. It skips
-// informational (1xx) responses and responses to other requests.
-func (c *conn) response(call Call) (*http.Response, error) {
+// informational (1xx) responses and responses to other requests. reused says that the
+// connection has carried other requests before.
+func (c *conn) response(call Call, reused bool) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
 	for range maxResponses {
 		c.bound.left = maxHeadBytes
@@ -172,10 +178,11 @@
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		if call.Matches(res.StatusCode, res.Header) {
+		match := call.Matches(res.StatusCode, res.Header)
+		if match == Own || match == Unnamed && !reused {
 			return res, nil
 		}
-		if res.Close {
+		if match == Unnamed || res.Close {
 			return nil, errMismatch
 		}
 		if err := c.discard(res.Body); err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,16 +65,32 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Match says whether a response belongs to a request.
+type Match int
+
+const (
+	// Other is the response to another request.
+	Other Match = iota
+	// Own is the response to this request.
+	Own
+	// Unnamed is a response that does not say to which request it belongs. It is taken
+	// for that of this request if the connection has carried no other.
+	Unnamed
+)
+
 // Call is a request to an endpoint.
 type Call struct {
+	// ID identifies the request. It is not sent twice on one connection, where the second
+	// copy of an earlier response could be taken for the response to the later one.
+	ID string
 	// Method, Target and Host are sent unchanged.
 	Method, Target, Host string
 	// Header is sent without its hop-by-hop fields.
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to this request. It is needed
-	// because an endpoint may send a second response to an earlier request.
-	Matches func(status int, h http.Header) bool
+	// Matches says whether a response belongs to this request. It is needed because an
+	// endpoint may send a second response to an earlier request.
+	Matches func(status int, h http.Header) Match
 }
 
 // key identifies the endpoint process at the other end of a connection. born
@@ -153,7 +170,7 @@
 // caller reads the body from it. The error is an [*Error]. The connection is
 // closed if ctx ends before [Answer.Close] is called.
 func (p *Pool) Do(ctx context.Context, e fleet.Endpoint, call Call) (*Answer, error) {
-	c, err := p.acquire(ctx, e)
+	c, err := p.acquire(ctx, e, call.ID)
 	if err != nil {
 		return nil, &Error{Address: e.Address, Err: err}
 	}
@@ -169,10 +186,10 @@
 }
 
 // acquire returns an idle connection that is still usable, or dials a new one.
-func (p *Pool) acquire(ctx context.Context, e fleet.Endpoint) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, e fleet.Endpoint, requestID string) (*conn, error) {
 	k := keyOf(e)
 	for {
-		c := p.pop(k)
+		c := p.pop(k, requestID)
 		if c == nil {
 			return p.dial(ctx, k, dialTimeout)
 		}
@@ -184,18 +201,19 @@
 	}
 }
 
-// pop removes the most recently used idle connection from the pool and returns
-// it, or nil if there is none.
-func (p *Pool) pop(k key) *conn {
+// pop removes the most recently used idle connection that did not carry the request
+// last, and returns it, or nil if there is none.
+func (p *Pool) pop(k key, requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[k]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if c.lastID == "" || c.lastID != requestID {
+			p.idle[k] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[k] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // release returns a connection to the pool, or closes it if the pool already
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -78,7 +78,7 @@
 func newCall(id, body string) upstream.Call {
 	return upstream.Call{
 		Method: http.MethodPost, Target: "/x?y", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Matches: matchID(id),
 	}
 }
 
@@ -323,3 +323,44 @@
 	require.NoError(t, err)
 	require.Equal(t, int64(2), f.conns.Load())
 }
+
+// matchID matches responses by their Id field.
+func matchID(id string) func(int, http.Header) upstream.Match {
+	return func(_ int, h http.Header) upstream.Match {
+		switch h.Get("Id") {
+		case id:
+			return upstream.Own
+		case "":
+			return upstream.Unnamed
+		}
+		return upstream.Other
+	}
+}
+
+// Guards against an answer that looks complete although the endpoint stopped in its
+// head or its body: one cut after each byte is an error.
+func TestCutAfterEachByte(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nId: i\r\nContent-Type: text/event-stream\r\nContent-Length: 4\r\n\r\nabcd",
+		"chunks":  "HTTP/1.1 200 OK\r\nId: i\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+		"trailer": "HTTP/1.1 200 OK\r\nId: i\r\nTrailer: X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\nX: y\r\n\r\n",
+		"neither": "HTTP/1.1 200 OK\r\nId: i\r\n\r\n",
+		"old":     "HTTP/1.0 200 OK\r\nId: i\r\n\r\n",
+		"interim": "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: i\r\nContent-Length: 0\r\n\r\n",
+	} {
+		p := newPool(t)
+		for length := range len(text) + 1 {
+			f := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if _, _, ok := readRequest(r); ok {
+					fmt.Fprint(c, text[:length])
+				}
+			})
+			_, err := doCall(p, f, newCall("i", ""))
+			if length == len(text) {
+				require.NoError(t, err, name)
+				continue
+			}
+			require.Error(t, err, "%s: %q", name, text[:length])
+		}
+	}
+}
