--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -34,10 +35,8 @@
 	partial string
 
 	mu sync.Mutex
-	// bad has the parts that crash endpoints.
-	bad      map[string]bool
-	crashes  []time.Time
-	arrivals []time.Time
+	// crashes and arrivals have the times of crashes and of requests by the bad part.
+	crashes, arrivals map[string][]time.Time
 	// ran has the IDs of the requests that reached an endpoint.
 	ran     map[string]bool
 	servers map[string]*http.Server
@@ -47,9 +46,12 @@
 // newCrashingFleet starts endpoints and lists them in the directory.
 func newCrashingFleet(t *testing.T, d *fakeDirectory, size int, partial string, bad ...string) *crashingFleet {
 	t.Helper()
-	f := &crashingFleet{directory: d, partial: partial, bad: map[string]bool{}, ran: map[string]bool{}, servers: map[string]*http.Server{}}
+	f := &crashingFleet{
+		directory: d, partial: partial, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{},
+		ran: map[string]bool{}, servers: map[string]*http.Server{},
+	}
 	for _, part := range bad {
-		f.bad[part] = true
+		f.arrivals[part] = nil
 	}
 	for i := range size {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -70,8 +72,8 @@
 	}
 	server := &http.Server{}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if f.receive(r) {
-			f.crash(w, r, id, domain, l.Addr().String(), server)
+		if part := f.receive(r); part != "" {
+			f.crash(w, r, part, fleet.Endpoint{ID: id, Domain: domain, Address: l.Addr().String()}, server)
 			return
 		}
 		answerSlowly(w, r)
@@ -85,24 +87,24 @@
 	})
 }
 
-// receive notes a request and reports whether it crashes the endpoint.
-func (f *crashingFleet) receive(r *http.Request) bool {
+// receive notes a request and returns its bad part, empty if it has none.
+func (f *crashingFleet) receive(r *http.Request) string {
 	_, _ = io.Copy(io.Discard, r.Body)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ran[r.Header.Get("Attempt-Id")] = true
 	for _, part := range strings.Split(r.Header.Get("Prefix-Hash"), ",") {
 		id, _, _ := strings.Cut(part, ":")
-		if f.bad[id] {
-			f.arrivals = append(f.arrivals, time.Now())
-			return true
+		if before, bad := f.arrivals[id]; bad {
+			f.arrivals[id] = append(before, time.Now())
+			return id
 		}
 	}
-	return false
+	return ""
 }
 
 // crash ends the endpoint and starts it again later.
-func (f *crashingFleet) crash(w http.ResponseWriter, r *http.Request, id, domain, address string, server *http.Server) {
+func (f *crashingFleet) crash(w http.ResponseWriter, r *http.Request, part string, e fleet.Endpoint, server *http.Server) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
@@ -112,10 +114,10 @@
 		fmt.Fprintf(c, f.partial, r.Header.Get("Attempt-Id"))
 	}
 	f.mu.Lock()
-	first := f.servers[id] == server
+	first := f.servers[e.ID] == server
 	if first {
-		delete(f.servers, id)
-		f.crashes = append(f.crashes, time.Now())
+		delete(f.servers, e.ID)
+		f.crashes[part] = append(f.crashes[part], time.Now())
 	}
 	f.mu.Unlock()
 	_ = server.Close()
@@ -124,8 +126,8 @@
 		return
 	}
 	time.AfterFunc(restartTime, func() {
-		if l, err := net.Listen("tcp4", address); err == nil {
-			f.serve(id, domain, l)
+		if l, err := net.Listen("tcp4", e.Address); err == nil {
+			f.serve(e.ID, e.Domain, l)
 		}
 	})
 }
@@ -139,28 +141,37 @@
 	}
 }
 
-// crashTime returns the time of the crash with the given number, the first being 1.
-func (f *crashingFleet) crashTime(number int) (time.Time, bool) {
+// lateArrivals returns the number of requests with the part that reached an endpoint
+// later than propagationTime after the fifth crash under it.
+func (f *crashingFleet) lateArrivals(part string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < number {
-		return time.Time{}, false
+	if len(f.crashes[part]) < 5 {
+		return 0
 	}
-	return f.crashes[number-1], true
+	end := f.crashes[part][4].Add(propagationTime)
+	return len(slices.DeleteFunc(slices.Clone(f.arrivals[part]), func(at time.Time) bool { return !at.After(end) }))
 }
 
-// arrivalsAfter returns the number of crashing requests that reached an endpoint later
-// than the given time.
-func (f *crashingFleet) arrivalsAfter(at time.Time) int {
+// soundFrom returns the time from which on sound requests are served: twice
+// propagationTime after the fifth crash under each part, or the first if there are fewer.
+func (f *crashingFleet) soundFrom() (res time.Time, come bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	res := 0
-	for _, a := range f.arrivals {
-		if a.After(at) {
-			res++
+	for part := range f.arrivals {
+		crashes := f.crashes[part]
+		if len(crashes) == 0 {
+			return res, false
+		}
+		from := crashes[0]
+		if len(crashes) >= 5 {
+			from = crashes[4]
+		}
+		if from = from.Add(2 * propagationTime); from.After(res) {
+			res = from
 		}
 	}
-	return res
+	return res, true
 }
 
 func (f *crashingFleet) hasRun(id string) bool {
@@ -192,8 +203,8 @@
 
 // sendPrompts sends sound prompts and, each badInterval, one with a part of bad, from
 // callers of all members, until the context ends. It returns the counts of the sound
-// prompts that were sent at the time begin or later, if it has come.
-func sendPrompts(ctx context.Context, t *testing.T, members []*fleetMember, f *crashingFleet, path string, badInterval time.Duration, bad func(i int) string, begin func() (time.Time, bool)) soundCount {
+// prompts that were sent at soundFrom or later.
+func sendPrompts(ctx context.Context, t *testing.T, members []*fleetMember, f *crashingFleet, path string, badInterval time.Duration, bad func(i int) string) soundCount {
 	t.Helper()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -211,7 +222,7 @@
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		if from, come := begin(); come && !sent.Before(from) {
+		if from, come := f.soundFrom(); come && !sent.Before(from) {
 			res.sent++
 			if got.err == nil && got.status == http.StatusOK {
 				res.served++
@@ -244,41 +255,43 @@
 func TestPartOfPromptThatCrashesEndpoints(t *testing.T) {
 	for _, c := range []struct {
 		name, path, partial string
-		// prompt is the prompt of a crashing request; the first %d is one of a few
+		// prompts are those of crashing requests in turn; the first %d is one of a few
 		// parts of sound ones, the second differs in all.
-		prompt string
+		prompts []string
+		members int
+		// restart says that a gateway is killed and starts again amid the crashes.
+		restart bool
 	}{
-		{"in the middle, before the head", "/stream/x", "", "aa:60,bad:400,c%d:200,d%d:9"},
-		{"next to last, in chunks", "/stream/x", chunkedHead, "aa:60,b%d:400,bad:200,d%d:9"},
-		{"first, without length", "/stream/x", openHead, "bad:60,b%d:400,d%d:9"},
-		{"inside an event, without length, resumed", "/resume/x", openHead + "id: 1\nda", "aa:60,b%d:400,bad:200,d%d:9"},
-		{"only shared part, plain answer", "/read/x", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nan", "bad:%d,d%d:9"},
+		{"in the middle, before the head", "/stream/x", "", []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, false},
+		{"next to last, in chunks", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false},
+		{"first, without length", "/stream/x", openHead, []string{"bad:60,b%d:400,d%d:9"}, 4, false},
+		{"inside an event, without length, resumed", "/resume/x", openHead + "id: 1\nda", []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false},
+		{"only shared part, plain answer", "/read/x", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nan", []string{"bad:%d,d%d:9"}, 4, false},
+		{"two parts, large fleet", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false},
+		{"a gateway starts anew", "/stream/x", chunkedHead, []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			members := startFleet(t, 4)
-			f := newCrashingFleet(t, members[0].fakeDirectory, 14, c.partial, "bad")
+			members := startFleet(t, c.members)
+			parts := []string{"bad", "worse"}[:len(c.prompts)]
+			f := newCrashingFleet(t, members[0].fakeDirectory, 14, c.partial, parts...)
 			ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
 			defer cancel()
-			// From twice propagationTime after the fifth crash on, or after the last if
-			// there are fewer, sound requests are served.
-			soundFrom := func() (time.Time, bool) {
-				at, come := f.crashTime(5)
-				if !come {
-					at, come = f.crashTime(1)
-				}
-				return at.Add(2 * propagationTime), come
+			if c.restart {
+				time.AfterFunc(3*time.Second, func() {
+					members[3].stop()
+					members[3].start(99)
+				})
 			}
-			bad := func(i int) string { return fmt.Sprintf(c.prompt, i%3, 1000000+i) }
-			sound := sendPrompts(ctx, t, members, f, c.path, 250*time.Millisecond, bad, soundFrom)
-			late := 0
-			if fifth, crashed := f.crashTime(5); crashed {
-				late = f.arrivalsAfter(fifth.Add(propagationTime))
+			bad := func(i int) string { return fmt.Sprintf(c.prompts[i%len(c.prompts)], i%3, 1000000+i) }
+			sound := sendPrompts(ctx, t, members, f, c.path, 250*time.Millisecond, bad)
+			for _, part := range parts {
+				late := f.lateArrivals(part)
+				t.Logf("%s: %d endpoints crashed, %d of %d crashing requests came late, %d of %d sound requests were served",
+					part, len(f.crashes[part]), late, len(f.arrivals[part]), sound.served, sound.sent)
+				require.NotEmpty(t, f.crashes[part])
+				require.LessOrEqual(t, late, 3, "requests with the part that reached an endpoint too late")
 			}
-			t.Logf("%d endpoints crashed, %d of %d crashing requests came late, %d of %d sound requests were served",
-				len(f.crashes), late, len(f.arrivals), sound.served, sound.sent)
-			require.NotEmpty(t, f.crashes)
-			require.LessOrEqual(t, late, 3, "requests with the part that reached an endpoint too late")
 			require.Greater(t, sound.sent, 50)
 			require.GreaterOrEqual(t, sound.served*100, sound.sent*95, "sound requests served of %d", sound.sent)
 		})
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -79,12 +79,7 @@
 		if i == 0 {
 			m.settings.Peers = seed
 		}
-		m.tasks = group.New(context.Background())
-		metrics, err := telemetry.New("gateway")
-		require.NoError(t, err)
-		m.gateway, err = gateway.New(m.settings, d, platform.Dialect{}, timer.New(m.tasks), timer.Uptime, uint64(i+1), m.tasks, metrics, slog.New(slog.NewJSONHandler(m.log, nil)))
-		require.NoError(t, err)
-		require.NoError(t, m.gateway.Start(func(err error) { t.Error(err) }))
+		m.start(uint64(i + 1))
 		t.Cleanup(m.stop)
 		res[i] = m
 	}
@@ -94,6 +89,16 @@
 	return res
 }
 
+// start starts a process of the gateway. Boot differs from those of other processes.
+func (m *fleetMember) start(boot uint64) {
+	m.tasks = group.New(context.Background())
+	metrics, err := telemetry.New("gateway")
+	require.NoError(m.t, err)
+	m.gateway, err = gateway.New(m.settings, m.fakeDirectory, platform.Dialect{}, timer.New(m.tasks), timer.Uptime, boot, m.tasks, metrics, slog.New(slog.NewJSONHandler(m.log, nil)))
+	require.NoError(m.t, err)
+	require.NoError(m.t, m.gateway.Start(func(err error) { m.t.Error(err) }))
+}
+
 // stop ends the gateway as a kill does: it tells nobody.
 func (m *fleetMember) stop() {
 	_ = m.gateway.Close()
