--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -36,8 +36,8 @@
 	// less idleMargin, so that the pool closes it before the endpoint does.
 	defaultIdleTimeout = 4 * time.Second
 	idleMargin         = time.Second
-	// probeTimeout bounds the handshake of a probe, probeWait is how long its connection
-	// must stay open. An endpoint that crashes may close its listener last.
+	// probeTimeout bounds the handshake of a probe. probeWait is how long a probe waits
+	// for an endpoint that crashes to close its other connections and its listener.
 	probeTimeout = 150 * time.Millisecond
 	probeWait    = 10 * time.Millisecond
 	// maxIdleConns bounds the idle connections to one endpoint.
@@ -188,14 +188,20 @@
 // acquire returns an idle connection that is still usable, or dials a new one.
 func (p *Pool) acquire(ctx context.Context, e fleet.Endpoint, requestID string) (*conn, error) {
 	k := keyOf(e)
+	if c := p.popUsable(k, requestID); c != nil {
+		c.sent = false
+		return c, nil
+	}
+	return p.dial(ctx, k, dialTimeout)
+}
+
+// popUsable removes an idle connection that is still usable from the pool and returns
+// it, or nil if there is none. It closes those that are not.
+func (p *Pool) popUsable(k key, requestID string) *conn {
 	for {
 		c := p.pop(k, requestID)
-		if c == nil {
-			return p.dial(ctx, k, dialTimeout)
-		}
-		if p.clock.Now().Before(c.expires) && c.reusable() {
-			c.sent = false
-			return c, nil
+		if c == nil || p.clock.Now().Before(c.expires) && c.reusable() {
+			return c
 		}
 		c.close()
 	}
@@ -230,30 +236,28 @@
 	}
 }
 
-// Probe opens a connection to an endpoint and keeps it for a later request. It returns
-// an error if the endpoint accepts none or closes it at once, as after a crash.
+// Probe finds out whether an endpoint still accepts connections after one has broken. It
+// opens a connection, which is kept for a later request, unless an idle one has stayed
+// open. The error is that of the handshake.
 func (p *Pool) Probe(ctx context.Context, e fleet.Endpoint) (err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("probe %s: %w", e.Address, err)
 		}
 	}()
-	for {
-		c, err := p.dial(ctx, keyOf(e), probeTimeout)
-		if err != nil {
-			return err
-		}
-		if err := p.clock.Sleep(ctx, probeWait); err != nil {
-			c.close()
+	if err := p.clock.Sleep(ctx, probeWait); err != nil {
+		return err
+	}
+	k := keyOf(e)
+	c := p.popUsable(k, "")
+	if c == nil {
+		if c, err = p.dial(ctx, k, probeTimeout); err != nil {
 			return err
 		}
-		if c.reusable() {
-			c.expires = p.clock.Now().Add(defaultIdleTimeout)
-			p.release(c)
-			return nil
-		}
-		c.close()
+		c.expires = p.clock.Now().Add(defaultIdleTimeout)
 	}
+	p.release(c)
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, k key, timeout time.Duration) (*conn, error) {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -364,3 +365,36 @@
 		}
 	}
 }
+
+// Guards against a probe that opens connections which nobody needs, and against one that
+// takes a crashed endpoint for live.
+func TestProbe(t *testing.T) {
+	f := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, body, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			fmt.Fprint(c, formatResponse(id, body))
+		}
+	})
+	p, e := newPool(t), fleet.Endpoint{ID: "e", Address: f.address}
+	for range 3 {
+		require.NoError(t, p.Probe(context.Background(), e))
+	}
+	_, err := doCall(p, f, newCall("1", "b"))
+	require.NoError(t, err)
+	require.NoError(t, p.Probe(context.Background(), e))
+	require.EqualValues(t, 1, f.conns.Load())
+
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := fleet.Endpoint{ID: "gone", Address: l.Addr().String()}
+	require.NoError(t, p.Probe(context.Background(), gone))
+	c, err := l.Accept()
+	require.NoError(t, err)
+	// The listener is closed last.
+	require.NoError(t, c.Close())
+	time.AfterFunc(time.Millisecond, func() { _ = l.Close() })
+	require.ErrorIs(t, p.Probe(context.Background(), gone), syscall.ECONNREFUSED)
+}
