Refuse chats with the message that crashes endpoints, on the path with agents

Change: entries keep the evidence of package suspect too; the parts are the messages of a chat but the last, a crash is what the agent reports, and peers learn of it by heartbeats. The features of a request are bounded in one place, and evidence is a message of package frame as suspects are.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -104,7 +104,7 @@
 		if p.lastRefusal.Reason == damasktrail.ReasonCrashed {
 			_ = e.clock.Sleep(ctx, crashPropagationWait)
 		}
-		if !c.idempotent {
+		if !c.idempotent || p.lastRefusal.Reason == damasktrail.ReasonCrashed && e.crashes.suspected(c.features) {
 			return false
 		}
 		if !e.stats.takeRetry(c.organisation.Name) {
@@ -218,10 +218,10 @@
 // checkAdmission refuses requests that no agent needs to see: those that have
 // crashed endpoints, are below the floor or are past their deadline.
 func (e *Entry) checkAdmission(s *snapshot, c *call) *damasktrail.Refusal {
-	if _, found := s.poisoned[c.request.Fingerprint]; found {
+	if _, found := s.poisoned[c.request.Fingerprint]; found || e.refusesFeatures(c) {
 		return &damasktrail.Refusal{
 			Reason: damasktrail.ReasonPoisoned, Outcome: damasktrail.NotRun,
-			Detail: "this request has crashed endpoints",
+			Detail: "this request, or a message in it, has crashed endpoints",
 		}
 	}
 	if lowest, found := s.floors[c.target]; found && c.tier.Rank > lowest {
@@ -471,8 +471,11 @@
 			if err != nil || !headReceived || m.Position != chunks {
 				return e.protocolError(err)
 			}
-			if chunks++; chunks == 1 {
+			switch chunks++; chunks {
+			case 1:
 				firstChunk = now
+			case soundChunks:
+				e.crashes.addAnswer(c.features, now)
 			}
 			digest = crc64.Update(digest, crcTable, m.Data)
 			if err := out.write(m.Data, stream.Ready(), now); err != nil {
@@ -487,6 +490,7 @@
 			}
 			r.record(m.Load, now)
 			e.affinity.record(c.prefixes, r.vm.Name)
+			e.crashes.addAnswer(c.features, now)
 			e.compareEndGeneration(sess, m.Generation)
 			e.stats.recordAnswer(c, r.vm.Name, damasktrail.Usage{Prefill: m.Prefill, Decode: m.Decode}, meanInterval(firstChunk, now, chunks), now)
 			if err := out.finish(); err != nil {
@@ -503,6 +507,9 @@
 			r.record(m.Load, now)
 			e.compareEndGeneration(sess, m.Generation)
 			// A stale request is refused before its ticket is checked.
+			if m.Reason == damasktrail.ReasonCrashed && chunks < soundChunks {
+				e.recordCrash(c, r.vm.Name, now)
+			}
 			c.notRunConfirmed = m.Outcome == damasktrail.NotRun && m.Reason != damasktrail.ReasonStale
 			return m.Refusal()
 		default:
--- a/entry/call.go
+++ b/entry/call.go
@@ -11,6 +11,7 @@
 
 	"damasktrail.dev"
 	"damasktrail.dev/document"
+	"damasktrail.dev/suspect"
 )
 
 // The headers of the callers' interface.
@@ -53,6 +54,14 @@
 	notRunConfirmed bool
 	arrived         time.Time
 	request         damasktrail.Request
+	// sharedMessages are the messages of a chat but the last, which other chats may have
+	// too.
+	sharedMessages []json.RawMessage
+	// features is what the request may have in common with others.
+	features suspect.Request
+	// tried is true if the request is let through to show whether what it has in common
+	// with crashed ones is innocent.
+	tried bool
 }
 
 // malformed returns the refusal of a request that cannot be read.
@@ -164,6 +173,9 @@
 		return malformed("a chat completion needs at least one message")
 	}
 	c.target, c.stream = m.Name, b.Stream
+	if len(b.Messages) > 0 {
+		c.sharedMessages = b.Messages[:len(b.Messages)-1]
+	}
 	c.maxTokens = max(b.MaxTokens, b.MaxCompletionTokens)
 	return nil
 }
@@ -182,6 +194,11 @@
 	c.request.Tier = c.tier.Rank
 	c.prefixes = prefixesOf(c.target, c.body)
 	c.request.Fingerprint = digest(c.organisation.Name, c.target, c.path, string(c.body))
+	parts := make([]suspect.Feature, len(c.sharedMessages))
+	for i, m := range c.sharedMessages {
+		parts[i] = digest(c.target, string(m))
+	}
+	c.features = suspect.NewRequest(c.request.Fingerprint, parts)
 }
 
 func digest(parts ...string) uint64 {
--- a/entry/control.go
+++ b/entry/control.go
@@ -188,6 +188,7 @@
 			c.linkInputs.dirty = true
 		}
 	}
+	c.e.crashes.expire(now)
 	if c.suspects.Expire(now) {
 		c.snapshotStale = true
 	}
@@ -343,6 +344,16 @@
 	return true
 }
 
+// broadcastEvidence tells all peers of the crashes that this entry knows of.
+func (c *control) broadcastEvidence() {
+	b := c.e.heartbeat()
+	for _, p := range c.peers {
+		if s := p.session.Load(); s != nil {
+			s.send(frame.KindHeartbeat, b)
+		}
+	}
+}
+
 // broadcast sends suspects and floors to all peers and agents.
 func (c *control) broadcast(suspects []frame.Suspect, floors []frame.Floor) {
 	b := c.e.heartbeat()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,7 @@
 	limits        *limits
 	stats         *requestStats
 	affinity      *affinity
+	crashes       *crashEvidence
 }
 
 // TLS holds the TLS configurations of an entry's connections.
@@ -116,6 +117,7 @@
 		limits:      newLimits(),
 		stats:       newRequestStats(),
 		affinity:    newAffinity(),
+		crashes:     newCrashEvidence(),
 	}
 	return res, nil
 }
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -32,9 +32,11 @@
 type fleet struct {
 	platform  *standin.Platform
 	endpoints []*standin.Endpoint
-	agents    []*agent.Agent
-	entries   []*entry.Entry
-	callers   []string
+	// servers are those of the endpoints.
+	servers []*httptest.Server
+	agents  []*agent.Agent
+	entries []*entry.Entry
+	callers []string
 }
 
 // newFleet starts n entries and one agent for each of the given endpoints.
@@ -84,7 +86,7 @@
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = a.Close() })
 		a.Start()
-		f.endpoints, f.agents = append(f.endpoints, e), append(f.agents, a)
+		f.endpoints, f.servers, f.agents = append(f.endpoints, e), append(f.servers, server), append(f.agents, a)
 		vms = append(vms, member.VM{
 			Name: name, Role: member.RoleAgent, Address: a.Address(), Domain: "be-a", Set: setName, State: member.StateLive,
 		})
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -233,8 +233,10 @@
 
 // heartbeat returns a heartbeat of this entry.
 func (e *Entry) heartbeat() frame.Heartbeat {
-	age := e.clock.Now().Sub(time.Unix(0, e.lastContact.Load()))
+	now := e.clock.Now()
+	age := now.Sub(time.Unix(0, e.lastContact.Load()))
 	return frame.Heartbeat{
+		Evidence:          e.crashes.report(now),
 		Generation:        e.rollout.Generation(),
 		VMListVersion:     e.rollout.VMListVersion(),
 		PlatformAgeMillis: max(age, 0).Milliseconds(),
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -22,9 +22,9 @@
 	"damasktrail.dev"
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
+	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
 	"damasktrail.dev/quota"
-	"damasktrail.dev/suspect"
 )
 
 const (
@@ -99,7 +99,7 @@
 	Usage quota.Usage
 	// Evidence is a part of what the entry knows of crashes of endpoints, a different one
 	// in each summary.
-	Evidence []suspect.Report
+	Evidence []frame.Evidence
 }
 
 // Peer is one incarnation of another entry.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -17,9 +17,9 @@
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/exchange"
+	"damasktrail.dev/frame"
 	"damasktrail.dev/group"
 	"damasktrail.dev/quota"
-	"damasktrail.dev/suspect"
 	"damasktrail.dev/timer"
 )
 
@@ -396,8 +396,8 @@
 		a.handler.summary.Usage[fmt.Sprintf("org%05d", i)] = 1e6
 	}
 	for i := range 80 {
-		crashes := []suspect.ReportedCrash{{ID: 1 << 31, AgeMillis: 1e4}, {ID: 1 << 30, AgeMillis: 2e4}, {ID: 1 << 29, AgeMillis: 3e4}, {ID: 1 << 28, AgeMillis: 4e4}}
-		a.handler.summary.Evidence = append(a.handler.summary.Evidence, suspect.Report{Feature: uint64(i) << 56, AnsweredMillis: 1e4, Crashes: crashes})
+		crashes := []frame.EvidenceCrash{{ID: 1 << 31, AgeMillis: 1e4}, {ID: 1 << 30, AgeMillis: 2e4}, {ID: 1 << 29, AgeMillis: 3e4}, {ID: 1 << 28, AgeMillis: 4e4}}
+		a.handler.summary.Evidence = append(a.handler.summary.Evidence, frame.Evidence{Feature: uint64(i) << 56, AnsweredMillis: 1e4, Crashes: crashes})
 	}
 	a.handler.mu.Unlock()
 	// The entry reports this often to live peers only, so the peer must send a
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -7,8 +7,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"damasktrail.dev/dispatch"
+	"damasktrail.dev/frame"
 	"damasktrail.dev/quota"
-	"damasktrail.dev/suspect"
 )
 
 // confirmation ends a datagram. With it the receiver dates the sender's table by
@@ -67,7 +67,7 @@
 	Usage quota.Usage `cbor:"1,keyasint,omitempty"`
 	// Peers are the addresses of the sender's live peers.
 	Peers    []string         `cbor:"3,keyasint,omitempty"`
-	Evidence []suspect.Report `cbor:"4,keyasint,omitempty"`
+	Evidence []frame.Evidence `cbor:"4,keyasint,omitempty"`
 }
 
 // encodeConfirmation returns the end of a datagram to a peer. It never compares the
--- a/frame/message.go
+++ b/frame/message.go
@@ -108,6 +108,26 @@
 	AgeMillis int64 `cbor:"age"`
 }
 
+// Evidence is what a process knows of a feature of requests that were lost when their
+// endpoints crashed. A feature is a hash of what requests have in common.
+type Evidence struct {
+	_       struct{} `cbor:",toarray"`
+	Feature uint64
+	// AnsweredMillis is the age of the latest sound answer to a request with the feature
+	// in milliseconds, -1 if there was none.
+	AnsweredMillis int64
+	Crashes        []EvidenceCrash
+}
+
+// EvidenceCrash is one crash of an endpoint.
+type EvidenceCrash struct {
+	_ struct{} `cbor:",toarray"`
+	// ID identifies the endpoint or its incarnation.
+	ID uint32
+	// AgeMillis is the time since the crash in milliseconds.
+	AgeMillis int64
+}
+
 // Floor is the rank of the lowest tier admitted for a model.
 type Floor struct {
 	Model string `cbor:"model"`
@@ -128,7 +148,9 @@
 	PlatformAgeMillis int64     `cbor:"age,omitempty"`
 	Suspects          []Suspect `cbor:"suspects,omitempty"`
 	Floors            []Floor   `cbor:"floors,omitempty"`
-	Leaving           bool      `cbor:"leaving,omitempty"`
+	// Evidence is sent between entries.
+	Evidence []Evidence `cbor:"evidence,omitempty"`
+	Leaving  bool       `cbor:"leaving,omitempty"`
 	// Reply requests a heartbeat in return, which distinguishes a silent link from
 	// an idle one.
 	Reply bool `cbor:"reply,omitempty"`
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -13,6 +13,7 @@
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/routing"
+	"damasktrail.dev/suspect"
 )
 
 const (
@@ -57,6 +58,8 @@
 	// useless.
 	arrived, deadline time.Time
 	fingerprint       uint64
+	// features is what the request may have in common with others.
+	features suspect.Request
 	// tried is true if the request is let through to show whether what it has in common
 	// with crashed ones is innocent.
 	tried bool
@@ -189,6 +192,7 @@
 func (c *call) checkAndCharge() *statusError {
 	g := c.g
 	c.fingerprint = fingerprint(c)
+	c.features = suspect.NewRequest(c.fingerprint, c.fields.SharedParts)
 	if c.refused() {
 		return poisonedError()
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -80,17 +80,12 @@
 	return h.Sum32()
 }
 
-// features returns what the request may have in common with others.
-func (c *call) features() suspect.Request {
-	return suspect.Request{Whole: c.fingerprint, Parts: c.fields.SharedParts}
-}
-
 // recordLoss records that the request was lost at its endpoint before the answer had
 // begun. It reports whether the endpoint has crashed.
 func (c *call) recordLoss(ctx context.Context, e fleet.Endpoint) bool {
 	g := c.g
 	g.mu.Lock()
-	g.lostRequests.add(e.ID, c.features(), g.clock.Now())
+	g.lostRequests.add(e.ID, c.features, g.clock.Now())
 	g.mu.Unlock()
 	// A caller that leaves meanwhile does not end the check.
 	err := g.pool.Probe(context.WithoutCancel(ctx), e)
@@ -106,7 +101,7 @@
 	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.evidence.AddAnswer(c.features(), g.clock.Now())
+	g.evidence.AddAnswer(c.features, g.clock.Now())
 }
 
 // recordAnswer records a complete answer of an endpoint to an attempt that was sent at
@@ -118,11 +113,11 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	if !delimited {
-		g.lostRequests.add(endpoint, c.features(), now)
+		g.lostRequests.add(endpoint, c.features, now)
 		return
 	}
 	g.lostRequests.clear(endpoint, sent)
-	g.evidence.AddAnswer(c.features(), now)
+	g.evidence.AddAnswer(c.features, now)
 }
 
 // recordUnreachable records that an endpoint accepts no connections. The requests
@@ -151,7 +146,7 @@
 	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	verdict := g.evidence.Judge(c.features(), g.clock.Now(), g.probes)
+	verdict := g.evidence.Judge(c.features, g.clock.Now(), g.probes)
 	c.tried = verdict == suspect.Try
 	return verdict == suspect.Refuse
 }
@@ -161,7 +156,7 @@
 	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.evidence.Suspected(c.features())
+	return g.evidence.Suspected(c.features)
 }
 
 // probes reports whether this gateway is the one that tries a feature again after a
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"damasktrail.dev/frame"
 )
 
 const (
@@ -31,6 +33,8 @@
 	// after the answer that cleared it.
 	recordRetention  = 2 * ProbeInterval
 	clearedRetention = time.Minute
+	// maxParts bounds the parts of one prompt that are looked at.
+	maxParts = 64
 	// maxFeatures bounds the records, maxAnswered the features with a recent answer, and
 	// maxCrashes the crashes of one record.
 	maxFeatures = 4096
@@ -48,23 +52,34 @@
 // prompts, or the whole request.
 type Feature = uint64
 
-// Request holds the features of one request.
+// Request holds the features of one request. It is immutable.
 type Request struct {
-	// Whole identifies the request when it is sent again.
-	Whole Feature
-	// Parts are the parts of its prompt that other prompts may have too.
-	Parts []Feature
+	// whole identifies the request when it is sent again.
+	whole Feature
+	// features are all features, whole first, each once.
+	features []Feature
 }
 
-// features returns all features.
-func (r Request) features() []Feature { return append([]Feature{r.Whole}, r.Parts...) }
+// NewRequest returns the features of a request. Whole identifies the request when it is
+// sent again, parts are those of its prompt that other prompts may have too. Of more than
+// maxParts, those in the middle are left out.
+func NewRequest(whole Feature, parts []Feature) Request {
+	features := []Feature{whole}
+	for i, f := range parts {
+		omitted := i >= maxParts/2 && i < len(parts)-maxParts/2
+		if !omitted && !slices.Contains(features, f) {
+			features = append(features, f)
+		}
+	}
+	return Request{whole: whole, features: features}
+}
 
 // has reports whether the request has the feature.
-func (r Request) has(f Feature) bool { return f == r.Whole || slices.Contains(r.Parts, f) }
+func (r Request) has(f Feature) bool { return slices.Contains(r.features, f) }
 
 // threshold returns the number of blamed crashes from which on the feature is refused.
 func (r Request) threshold(f Feature) int {
-	if f == r.Whole {
+	if f == r.whole {
 		return PoisonThreshold
 	}
 	return partThreshold
@@ -72,7 +87,7 @@
 
 // Crash is one crash of an endpoint.
 type Crash struct {
-	// ID identifies the incarnation of the endpoint. All gateways use the same.
+	// ID identifies the endpoint or its incarnation. All entries use the same.
 	ID uint32
 	At time.Time
 }
@@ -92,23 +107,6 @@
 	Refuse
 )
 
-// Report is what a gateway tells its peers about one feature.
-type Report struct {
-	_       struct{} `cbor:",toarray"`
-	Feature Feature
-	// AnsweredMillis is the age of the latest sound answer in milliseconds, -1 if there
-	// was none.
-	AnsweredMillis int64
-	Crashes        []ReportedCrash
-}
-
-// ReportedCrash is a Crash with its age in milliseconds.
-type ReportedCrash struct {
-	_         struct{} `cbor:",toarray"`
-	ID        uint32
-	AgeMillis int64
-}
-
 // featureRecord is what is known of a feature that a lost request had.
 type featureRecord struct {
 	// crashes are sorted by time and at most maxCrashes.
@@ -154,14 +152,18 @@
 	return true
 }
 
-// answer records a sound answer.
-func (r *featureRecord) answer(at, now time.Time) {
-	if r.count() > 0 {
-		r.changed = now
+// answer records a sound answer and reports whether it excludes crashes that counted.
+func (r *featureRecord) answer(at, now time.Time) bool {
+	if !at.After(r.answered) {
+		return false
 	}
-	if at.After(r.answered) {
-		r.answered = at
+	before := r.count()
+	r.answered = at
+	if r.count() == before {
+		return false
 	}
+	r.changed = now
+	return true
 }
 
 // spaced returns crashes that are at least minCrashSpacing apart, the latest first.
@@ -195,7 +197,7 @@
 
 // AddCrash records that the request was lost at a crash before its answer had begun.
 func (e *Evidence) AddCrash(r Request, id uint32, now time.Time) {
-	for _, f := range r.features() {
+	for _, f := range r.features {
 		if x := e.record(f, now); x.add(Crash{ID: id, At: now}) {
 			x.changed = now
 		}
@@ -236,12 +238,12 @@
 
 // AddAnswer records that the request got a sound answer, or the begin of one.
 func (e *Evidence) AddAnswer(r Request, now time.Time) {
-	for _, f := range r.features() {
+	for _, f := range r.features {
 		if x := e.records[f]; x != nil {
 			x.answer(now, now)
 			continue
 		}
-		if f == r.Whole {
+		if f == r.whole {
 			continue // An answered request is not sent again.
 		}
 		if len(e.answered) >= maxAnswered {
@@ -254,23 +256,24 @@
 	}
 }
 
-// Merge adds what a peer reports.
-func (e *Evidence) Merge(reported []Report, now time.Time) {
+// Merge adds what a peer reports, and reports whether it was news.
+func (e *Evidence) Merge(reported []frame.Evidence, now time.Time) (news bool) {
 	for _, p := range reported {
-		crashes := slices.DeleteFunc(slices.Clone(p.Crashes), func(c ReportedCrash) bool { return !validAge(c.AgeMillis) })
+		crashes := slices.DeleteFunc(slices.Clone(p.Crashes), func(c frame.EvidenceCrash) bool { return !validAge(c.AgeMillis) })
 		if len(crashes) == 0 {
 			continue
 		}
 		x := e.record(p.Feature, now)
 		for _, c := range crashes {
 			if x.add(Crash{ID: c.ID, At: dated(c.AgeMillis, now)}) {
-				x.changed = now
+				x.changed, news = now, true
 			}
 		}
 		if validAge(p.AnsweredMillis) {
-			x.answer(dated(p.AnsweredMillis, now), now)
+			news = x.answer(dated(p.AnsweredMillis, now), now) || news
 		}
 	}
+	return news
 }
 
 // validAge reports whether a reported age is that of something that is still kept.
@@ -283,7 +286,7 @@
 
 // Report returns at most limit records for peers: those with several crashes first,
 // then those that changed last, and a few others at random.
-func (e *Evidence) Report(now time.Time, limit int) []Report {
+func (e *Evidence) Report(now time.Time, limit int) []frame.Evidence {
 	type entry struct {
 		feature Feature
 		record  *featureRecord
@@ -301,7 +304,7 @@
 		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 		all = all[:limit]
 	}
-	res := make([]Report, 0, len(all))
+	res := make([]frame.Evidence, 0, len(all))
 	for _, a := range all {
 		res = append(res, a.record.report(a.feature, now))
 	}
@@ -309,14 +312,14 @@
 }
 
 // report returns the record as a message.
-func (r *featureRecord) report(f Feature, now time.Time) Report {
-	res := Report{Feature: f, AnsweredMillis: -1}
+func (r *featureRecord) report(f Feature, now time.Time) frame.Evidence {
+	res := frame.Evidence{Feature: f, AnsweredMillis: -1}
 	if !r.answered.IsZero() {
 		res.AnsweredMillis = now.Sub(r.answered).Milliseconds()
 	}
 	crashes := spaced(r.crashes)
 	for _, c := range crashes[:min(len(crashes), maxReportedCrashes)] {
-		res.Crashes = append(res.Crashes, ReportedCrash{ID: c.ID, AgeMillis: now.Sub(c.At).Milliseconds()})
+		res.Crashes = append(res.Crashes, frame.EvidenceCrash{ID: c.ID, AgeMillis: now.Sub(c.At).Milliseconds()})
 	}
 	return res
 }
@@ -356,7 +359,7 @@
 // Suspected reports whether the request has a feature with two crashes blamed on it, so
 // that it should not be sent to one more endpoint after it was lost.
 func (e *Evidence) Suspected(r Request) bool {
-	return slices.ContainsFunc(r.features(), func(f Feature) bool { return e.blamed(f, PoisonThreshold) != nil })
+	return slices.ContainsFunc(r.features, func(f Feature) bool { return e.blamed(f, PoisonThreshold) != nil })
 }
 
 // Judge decides about a request by the crashes that are blamed on its features. A
@@ -364,7 +367,7 @@
 // ProbeInterval without a crash if owner reports that this gateway may try the feature.
 func (e *Evidence) Judge(r Request, now time.Time, owner func(Feature) bool) Verdict {
 	var tried []*featureRecord
-	for _, f := range r.features() {
+	for _, f := range r.features {
 		blamed := e.blamed(f, r.threshold(f))
 		if blamed == nil {
 			continue
--- a/suspect/evidence_test.go
+++ b/suspect/evidence_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"damasktrail.dev/frame"
 	"damasktrail.dev/suspect"
 )
 
@@ -30,7 +31,7 @@
 
 func (p *played) request(parts ...suspect.Feature) suspect.Request {
 	p.whole++
-	return suspect.Request{Whole: p.whole, Parts: parts}
+	return suspect.NewRequest(p.whole, parts)
 }
 
 // crash crashes another endpoint, at which the requests have no answer yet.
@@ -224,6 +225,26 @@
 	require.Equal(t, suspect.Accept, a.judge(bad))
 }
 
+// Guards against prompts of very many parts that take processor time and memory, and
+// whose first or last shared part is not looked at.
+func TestManyParts(t *testing.T) {
+	var parts []suspect.Feature
+	for i := range suspect.Feature(5000) {
+		parts = append(parts, i)
+	}
+	p := newPlayed()
+	for range 3 {
+		p.crash(p.request(parts...))
+		p.pass(time.Second)
+	}
+	require.Len(t, p.Report(p.now, 1<<20), 64+3)
+	require.Equal(t, suspect.Refuse, p.judge(parts...))
+	p.answer(parts[0], parts[1])
+	require.Equal(t, suspect.Refuse, p.judge(parts...))
+	require.Equal(t, suspect.Try, p.judge(parts[4999]))
+	require.Equal(t, suspect.Accept, p.judge(parts[2500]))
+}
+
 // Guards against memory and reports that grow with the parts that callers make up, and
 // against losing the part that matters among them.
 func TestBoundedEvidence(t *testing.T) {
@@ -273,8 +294,8 @@
 	p := newPlayed()
 	const most = 1<<63 - 1
 	for _, age := range []int64{-1, -most, most, most / 1000000} {
-		p.Merge([]suspect.Report{
-			{Feature: bad, AnsweredMillis: age, Crashes: []suspect.ReportedCrash{{ID: 1, AgeMillis: age}, {ID: 2, AgeMillis: age}, {ID: 3, AgeMillis: age}}},
+		p.Merge([]frame.Evidence{
+			{Feature: bad, AnsweredMillis: age, Crashes: []frame.EvidenceCrash{{ID: 1, AgeMillis: age}, {ID: 2, AgeMillis: age}, {ID: 3, AgeMillis: age}}},
 			{Feature: left},
 		}, p.now)
 	}
