Make evidence safe for concurrent use and drop what it replaced

Cause: gateway and entry each kept a lock around package suspect's evidence, and Sample of List has had no user since gateways report evidence.

--- a/entry/announce_test.go
+++ b/entry/announce_test.go
@@ -13,6 +13,7 @@
 	"damasktrail.dev/group"
 	"damasktrail.dev/member"
 	"damasktrail.dev/rollout"
+	"damasktrail.dev/suspect"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/timer"
 )
@@ -29,7 +30,7 @@
 	return &Entry{
 		clock: timer.New(tasks), metrics: m, log: slog.New(slog.DiscardHandler), tasks: tasks,
 		documents: documents, members: members, rollout: rollout.New(documents, members, m.Count),
-		events: make(chan func(*control), eventBuffer), stats: newRequestStats(), crashes: newCrashEvidence(),
+		events: make(chan func(*control), eventBuffer), stats: newRequestStats(), evidence: suspect.NewEvidence(),
 	}
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -104,7 +104,7 @@
 		if p.lastRefusal.Reason == damasktrail.ReasonCrashed {
 			_ = e.clock.Sleep(ctx, crashPropagationWait)
 		}
-		if !c.idempotent || p.lastRefusal.Reason == damasktrail.ReasonCrashed && e.crashes.suspected(c.features) {
+		if !c.idempotent || p.lastRefusal.Reason == damasktrail.ReasonCrashed && e.evidence.Suspected(c.features) {
 			return false
 		}
 		if !e.stats.takeRetry(c.organisation.Name) {
@@ -475,7 +475,7 @@
 			case 1:
 				firstChunk = now
 			case soundChunks:
-				e.crashes.addAnswer(c.features, now)
+				e.evidence.AddAnswer(c.features, now)
 			}
 			digest = crc64.Update(digest, crcTable, m.Data)
 			if err := out.write(m.Data, stream.Ready(), now); err != nil {
@@ -490,7 +490,7 @@
 			}
 			r.record(m.Load, now)
 			e.affinity.record(c.prefixes, r.vm.Name)
-			e.crashes.addAnswer(c.features, now)
+			e.evidence.AddAnswer(c.features, now)
 			e.compareEndGeneration(sess, m.Generation)
 			e.stats.recordAnswer(c, r.vm.Name, damasktrail.Usage{Prefill: m.Prefill, Decode: m.Decode}, meanInterval(firstChunk, now, chunks), now)
 			if err := out.finish(); err != nil {
--- a/entry/control.go
+++ b/entry/control.go
@@ -188,7 +188,7 @@
 			c.linkInputs.dirty = true
 		}
 	}
-	c.e.crashes.expire(now)
+	c.e.evidence.Expire(now)
 	if c.suspects.Expire(now) {
 		c.snapshotStale = true
 	}
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -70,7 +70,7 @@
 	require.NoError(tb, err)
 	e := &Entry{
 		settings: Settings{Name: "e00407", Domain: domain, Subset: 11}, clock: timer.New(tasks), tasks: tasks, metrics: metrics,
-		log: slog.New(slog.NewTextHandler(io.Discard, nil)), documents: document.NewHolder(), members: member.NewHolder(), stats: newRequestStats(), crashes: newCrashEvidence(),
+		log: slog.New(slog.NewTextHandler(io.Discard, nil)), documents: document.NewHolder(), members: member.NewHolder(), stats: newRequestStats(), evidence: suspect.NewEvidence(),
 	}
 	e.rollout = rollout.New(e.documents, e.members, metrics.Count)
 	_, err = e.documents.Offer(d)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"damasktrail.dev/link"
 	"damasktrail.dev/member"
 	"damasktrail.dev/rollout"
+	"damasktrail.dev/suspect"
 	"damasktrail.dev/telemetry"
 )
 
@@ -75,7 +76,7 @@
 	limits        *limits
 	stats         *requestStats
 	affinity      *affinity
-	crashes       *crashEvidence
+	evidence      *suspect.Evidence
 }
 
 // TLS holds the TLS configurations of an entry's connections.
@@ -117,7 +118,7 @@
 		limits:      newLimits(),
 		stats:       newRequestStats(),
 		affinity:    newAffinity(),
-		crashes:     newCrashEvidence(),
+		evidence:    suspect.NewEvidence(),
 	}
 	return res, nil
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -236,7 +236,7 @@
 	now := e.clock.Now()
 	age := now.Sub(time.Unix(0, e.lastContact.Load()))
 	return frame.Heartbeat{
-		Evidence:          e.crashes.report(now),
+		Evidence:          e.evidence.Report(now, maxReportedEvidence),
 		Generation:        e.rollout.Generation(),
 		VMListVersion:     e.rollout.VMListVersion(),
 		PlatformAgeMillis: max(age, 0).Milliseconds(),
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -348,7 +348,7 @@
 // handleBeat handles the fields that beats of agents and peers have in common.
 func (e *Entry) handleBeat(s *session, b frame.Heartbeat, now time.Time) {
 	s.recordGeneration(b.Generation)
-	if len(b.Evidence) > 0 && e.crashes.merge(b.Evidence, now) {
+	if e.evidence.Merge(b.Evidence, now) {
 		e.post(func(c *control) { c.broadcastEvidence() })
 	}
 	if len(b.Suspects) > 0 || len(b.Floors) > 0 {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -98,10 +98,7 @@
 
 // recordSound records that the answer to the request is sound or has begun so.
 func (c *call) recordSound() {
-	g := c.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.evidence.AddAnswer(c.features, g.clock.Now())
+	c.g.evidence.AddAnswer(c.features, c.g.clock.Now())
 }
 
 // recordAnswer records a complete answer of an endpoint to an attempt that was sent at
@@ -127,13 +124,13 @@
 	g.mu.Lock()
 	g.lostRequests.expire(now)
 	lost := g.lostRequests.take(e.ID)
-	for _, x := range lost {
-		g.evidence.AddCrash(x.features, crashID(e), now)
-	}
 	g.mu.Unlock()
 	if len(lost) == 0 {
 		return
 	}
+	for _, x := range lost {
+		g.evidence.AddCrash(x.features, crashID(e), now)
+	}
 	g.log.Warn("endpoint crashed", "endpoint", e.ID, "suspects", len(lost))
 	g.exchange.Changed(true)
 }
@@ -143,22 +140,11 @@
 	if c.tried {
 		return false
 	}
-	g := c.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	verdict := g.evidence.Judge(c.features, g.clock.Now(), g.probes)
+	verdict := c.g.evidence.Judge(c.features, c.g.clock.Now(), c.g.probes)
 	c.tried = verdict == suspect.Try
 	return verdict == suspect.Refuse
 }
 
-// suspected reports whether the request should not be sent again after a loss.
-func (c *call) suspected() bool {
-	g := c.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.evidence.Suspected(c.features)
-}
-
 // probes reports whether this gateway is the one that tries a feature again after a
 // long time. Each live gateway has its share of the features.
 func (g *Gateway) probes(f suspect.Feature) bool {
@@ -173,8 +159,8 @@
 
 // logRefusedParts logs changes of the parts of prompts that are refused.
 func (g *Gateway) logRefusedParts(time.Time) {
-	g.mu.Lock()
 	parts := g.evidence.Parts()
+	g.mu.Lock()
 	before := g.refusedParts
 	g.refusedParts = parts
 	g.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	slots           *coordinator.Client
 	slotServer      *coordinator.Server
 	quotas          *quota.Ledger
+	evidence        *suspect.Evidence
 	pool            *upstream.Pool
 	callerServer    *http.Server
 	readinessServer *http.Server
@@ -92,7 +93,6 @@
 
 	// mu guards the fields below.
 	mu           sync.Mutex
-	evidence     *suspect.Evidence
 	lostRequests *lostRequests
 	// refusedParts has the parts of prompts that were refused when last logged.
 	refusedParts []suspect.Feature
@@ -131,6 +131,7 @@
 	if err := errors.Join(
 		m.Gauge("coordinator", "1 while this gateway grants the slots of its failure domain to others, else 0.", g.coordinates),
 		m.Gauge("table_behind_seconds", "Time since a peer first reported a newer routing table than the one in force, 0 if none has.", func() float64 { return g.catalog.Behind().Seconds() }),
+		m.Gauge("refused_parts", "Parts of prompts that are refused since crashes are blamed on them.", func() float64 { return float64(len(g.evidence.Parts())) }),
 		m.Gauge("members", "Live gateways that this one knows, itself included.", func() float64 { return float64(1 + len(g.exchange.Peers())) }),
 	); err != nil {
 		return nil, err
@@ -187,10 +188,10 @@
 func (g *Gateway) tick(now time.Time) {
 	g.scheduler.Tick()
 	g.pool.Expire(now)
+	g.evidence.Expire(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lostRequests.expire(now)
-	g.evidence.Expire(now)
 }
 
 // applySnapshot applies a new snapshot of the catalog to the components.
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -86,10 +86,7 @@
 
 // Summary implements exchange.Handler.
 func (h exchangeHandler) Summary(evidence int) exchange.Summary {
-	g := h.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return exchange.Summary{Usage: g.quotas.Usage(), Evidence: g.evidence.Report(g.clock.Now(), evidence)}
+	return exchange.Summary{Usage: h.g.quotas.Usage(), Evidence: h.g.evidence.Report(h.g.clock.Now(), evidence)}
 }
 
 // ReceiveState implements exchange.Handler.
@@ -107,11 +104,6 @@
 func (h exchangeHandler) ReceiveSummary(peer exchange.Peer, s exchange.Summary) {
 	g := h.g
 	g.quotas.SetPeerUsage(peer.String(), s.Usage, g.clock.Now())
-	if len(s.Evidence) == 0 {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.evidence.Merge(s.Evidence, g.clock.Now())
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -199,7 +199,7 @@
 		result = dispatch.Unreachable
 	}
 	grant.Done(result, 0)
-	if ctx.Err() == nil && c.route.Repeatable() && !c.suspected() && c.takeRetry() {
+	if ctx.Err() == nil && c.route.Repeatable() && !c.g.evidence.Suspected(c.features) && c.takeRetry() {
 		c.recordRetry(grant, lostReason(err), err)
 		return true
 	}
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"damasktrail.dev/frame"
@@ -180,9 +181,10 @@
 // Evidence relates crashes of endpoints to the features of the requests that were lost
 // there before their answers had begun. A request that crashes its endpoints never
 // gets a sound answer; so of the features that crashed requests have in common, the one
-// that is in most of the crashes and in no sound answer is refused. It is not safe for
+// that is in most of the crashes and in no sound answer is refused. It is safe for
 // concurrent use.
 type Evidence struct {
+	mu      sync.Mutex
 	records map[Feature]*featureRecord
 	// answered has the time of the latest sound answer of features without a record.
 	answered map[Feature]time.Time
@@ -197,6 +199,8 @@
 
 // AddCrash records that the request was lost at a crash before its answer had begun.
 func (e *Evidence) AddCrash(r Request, id uint32, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, f := range r.features {
 		if x := e.record(f, now); x.add(Crash{ID: id, At: now}) {
 			x.changed = now
@@ -238,6 +242,8 @@
 
 // AddAnswer records that the request got a sound answer, or the begin of one.
 func (e *Evidence) AddAnswer(r Request, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, f := range r.features {
 		if x := e.records[f]; x != nil {
 			x.answer(now, now)
@@ -258,6 +264,8 @@
 
 // Merge adds what a peer reports, and reports whether it was news.
 func (e *Evidence) Merge(reported []frame.Evidence, now time.Time) (news bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, p := range reported {
 		crashes := slices.DeleteFunc(slices.Clone(p.Crashes), func(c frame.EvidenceCrash) bool { return !validAge(c.AgeMillis) })
 		if len(crashes) == 0 {
@@ -287,6 +295,8 @@
 // Report returns at most limit records for peers: those with several crashes first,
 // then those that changed last, and a few others at random.
 func (e *Evidence) Report(now time.Time, limit int) []frame.Evidence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	type entry struct {
 		feature Feature
 		record  *featureRecord
@@ -359,6 +369,8 @@
 // Suspected reports whether the request has a feature with two crashes blamed on it, so
 // that it should not be sent to one more endpoint after it was lost.
 func (e *Evidence) Suspected(r Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return slices.ContainsFunc(r.features, func(f Feature) bool { return e.blamed(f, PoisonThreshold) != nil })
 }
 
@@ -366,6 +378,8 @@
 // request whose features can be innocent is tried now and then, and so is one after
 // ProbeInterval without a crash if owner reports that this gateway may try the feature.
 func (e *Evidence) Judge(r Request, now time.Time, owner func(Feature) bool) Verdict {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	var tried []*featureRecord
 	for _, f := range r.features {
 		blamed := e.blamed(f, r.threshold(f))
@@ -405,6 +419,8 @@
 
 // Parts returns the features that are refused as parts of prompts, sorted.
 func (e *Evidence) Parts() []Feature {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	var res []Feature
 	for f := range e.records {
 		if e.blamed(f, partThreshold) != nil {
@@ -417,6 +433,8 @@
 
 // Expire removes old records. It does nothing when it was called shortly before.
 func (e *Evidence) Expire(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if now.Sub(e.expired) < expiryInterval {
 		return
 	}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -1,11 +1,11 @@
-// Package suspect records which requests were in flight at an endpoint when it
-// crashed. A fingerprint with one crash is a suspect, with two it is poisoned.
-// Start from [New].
+// Package suspect decides which requests are refused because they crash endpoints.
+// [List] records which requests were in flight at an endpoint when it crashed: a
+// fingerprint with one crash is a suspect, with two it is poisoned. [Evidence] also
+// recognises what requests that are not alike have in common. Start from [New] or
+// [NewEvidence].
 package suspect
 
 import (
-	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -105,19 +105,6 @@
 	return len(l.records) < before
 }
 
-// Sample returns at most limit records as messages: half of them are those of the
-// latest crashes, the others are chosen at random from the rest.
-func (l *List) Sample(now time.Time, limit int) []frame.Suspect {
-	all := l.Report(now)
-	if len(all) <= limit {
-		return all
-	}
-	slices.SortFunc(all, func(a, b frame.Suspect) int { return cmp.Compare(a.AgeMillis, b.AgeMillis) })
-	remaining := all[limit/2:]
-	rand.Shuffle(len(remaining), func(i, j int) { remaining[i], remaining[j] = remaining[j], remaining[i] })
-	return all[:limit]
-}
-
 // Report returns all records as messages.
 func (l *List) Report(now time.Time) []frame.Suspect {
 	res := make([]frame.Suspect, 0, len(l.records))
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -33,27 +33,3 @@
 		})
 	}
 }
-
-// Guards against reports that omit a new crash in favour of old ones, and against
-// old records that are never sent to a new process.
-func TestSample(t *testing.T) {
-	now := time.Unix(1000, 0)
-	l := suspect.New()
-	for f := range uint64(100) {
-		l.Add(f, 1, now.Add(time.Duration(f)*time.Millisecond))
-	}
-	now = now.Add(time.Second)
-	require.Len(t, l.Sample(now, 200), 100)
-	seen := map[uint64]bool{}
-	for range 200 {
-		sample := l.Sample(now, 16)
-		require.Len(t, sample, 16)
-		for i, s := range sample {
-			seen[s.Fingerprint] = true
-			if i < 8 {
-				require.Equal(t, uint64(99-i), s.Fingerprint)
-			}
-		}
-	}
-	require.Len(t, seen, 100)
-}
