Give tests ports that are free for UDP too, each once

Cause: a row of TestPartOfPromptThatCrashesEndpoints failed once with 'bind: address already in use' for UDP. Traced: freeAddress looked for a free TCP port only, and the gateways of rows that run together bind 32 UDP ports, which that look does not see. Change: an address must be free for both, and no two tests of the process get the same.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -194,12 +194,27 @@
 	t        *testing.T
 }
 
+// givenAddresses has the addresses that freeAddress has returned.
+var givenAddresses sync.Map
+
+// freeAddress returns an address that is free for TCP and UDP and that no other test of
+// this process gets.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := l.Addr().String()
+		p, err := net.ListenPacket("udp4", address)
+		l.Close()
+		if err != nil {
+			continue
+		}
+		p.Close()
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			return address
+		}
+	}
 }
 
 // routes returns routes of each kind to the service s, each with the prefix /NAME/.
