Continue a stream only where it broke off

Cause: the answer that continues a stream was checked by its status only. Change: it must have the same content type, and its first event a higher number than the last one sent.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 )
@@ -19,8 +20,9 @@
 type eventBatch struct {
 	// data is valid until the next call of eventReader.next.
 	data []byte
-	// lastID is the ID of the last event that has one, empty when none has.
-	lastID string
+	// firstID and lastID are the IDs of the first and the last event that have one, empty
+	// when none has.
+	firstID, lastID string
 	// count is the number of events.
 	count int
 }
@@ -92,6 +94,7 @@
 		empty = false
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			res.lastID = string(bytes.TrimPrefix(id, []byte(" ")))
+			res.firstID = cmp.Or(res.firstID, res.lastID)
 		}
 	}
 	return res
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -16,6 +16,10 @@
 // errCallerGone is returned when the answer cannot be written to the caller.
 var errCallerGone = errors.New("the caller left")
 
+// errNotContinued is returned when the answer of a later attempt does not go on where the
+// stream broke off.
+var errNotContinued = errors.New("stream is not continued")
+
 // errNoEvent is returned when the connection ends before the first event of a stream
 // that says not otherwise where it ends.
 var errNoEvent = errors.New("connection ended before the first event")
@@ -30,8 +34,10 @@
 	writer http.ResponseWriter
 	// headerSent is true once the caller has received a part of the answer.
 	headerSent bool
-	// statusCode is the HTTP status sent to the caller.
-	statusCode int
+	// statusCode and contentType are the HTTP status and the content type sent to the
+	// caller.
+	statusCode  int
+	contentType string
 	// lastEventID is the ID of the last event sent to the caller.
 	lastEventID string
 	// attemptEvents, firstEventTime and lastEventTime are the number of events of
@@ -47,10 +53,13 @@
 func (r *relay) forward(a *upstream.Answer, grant *coordinator.Slot) error {
 	r.attemptEvents = 0
 	if r.call.route.Kind == routing.Streaming && a.Status == http.StatusOK {
+		if own := a.Header.Get("Content-Type"); r.headerSent && own != r.contentType {
+			return fmt.Errorf("%w: content type %q", errNotContinued, own)
+		}
 		return r.forwardStream(a, grant)
 	}
 	if r.headerSent {
-		return fmt.Errorf("stream is not continued: status %d", a.Status)
+		return fmt.Errorf("%w: status %d", errNotContinued, a.Status)
 	}
 	return r.forwardBody(a, grant)
 }
@@ -106,6 +115,9 @@
 		if err != nil {
 			return err
 		}
+		if r.attemptEvents == 0 && !follows(b.firstID, r.lastEventID) {
+			return fmt.Errorf("%w: event %s after event %s", errNotContinued, b.firstID, r.lastEventID)
+		}
 		now := r.call.g.clock.Now()
 		if r.attemptEvents == 0 {
 			grant.Started()
@@ -133,6 +145,13 @@
 	}
 }
 
+// follows reports whether an event can come after another. Only numbers are compared.
+func follows(id, last string) bool {
+	i, err := strconv.ParseUint(id, 10, 64)
+	j, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || i > j
+}
+
 // writeHeader sends the status and header of an answer to the caller.
 func (r *relay) writeHeader(a *upstream.Answer) {
 	h := r.writer.Header()
@@ -143,7 +162,7 @@
 	if _, found := a.Header["Date"]; !found {
 		h["Date"] = nil
 	}
-	r.headerSent, r.statusCode = true, a.Status
+	r.headerSent, r.statusCode, r.contentType = true, a.Status, a.Header.Get("Content-Type")
 	r.writer.WriteHeader(a.Status)
 }
 
--- a/gateway/second_answer_test.go
+++ b/gateway/second_answer_test.go
@@ -98,3 +98,41 @@
 		})
 	}
 }
+
+// Guards against an error of the next endpoint in the middle of a stream that broke off,
+// and against a stream that looks complete because of it.
+func TestErrorAfterBrokenStream(t *testing.T) {
+	for name, second := range map[string]http.HandlerFunc{
+		"failure": func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "oops\n\n", http.StatusInternalServerError)
+		},
+		"not run": respondNotRun(http.StatusServiceUnavailable),
+		"refusal": func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no\n\n", http.StatusBadRequest) },
+		"another kind of answer": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/html")
+			fmt.Fprint(w, "<p>maintenance</p>\n\n")
+		},
+		"empty": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) },
+		"begin again": func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Del("Last-Event-Id")
+			streamEvents(20, 0)(w, r)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var once sync.Once
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				first := false
+				once.Do(func() { first = true })
+				if first {
+					streamEvents(20, 7)(w, r)
+					return
+				}
+				second(w, r)
+			}
+			s := start(t, newFakeEndpoint(t, handler), newFakeEndpoint(t, handler))
+			got := s.send("/resume/x", "id", "body")
+			require.Equal(t, eventText(1, 7), got.body)
+			require.Error(t, got.err, "the stream was cut off")
+		})
+	}
+}
