Count a stream without length as sound after a few events

Cause: found by reading: a stream without length that had sent four events and ended with its connection was kept as a request that may have crashed its endpoint, and so was in the record of the next crash there within 2 s. Change: such a stream is sound, as one that goes on is.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -102,14 +102,14 @@
 }
 
 // recordAnswer records a complete answer of an endpoint to an attempt that was sent at
-// the given time. If only the end of the connection ended it, it may have been cut off
-// by a crash.
-func (c *call) recordAnswer(endpoint string, sent time.Time, delimited bool) {
+// the given time. It is not sound if only the end of the connection ended it before a
+// few events: it may have been cut off by a crash.
+func (c *call) recordAnswer(endpoint string, sent time.Time, sound bool) {
 	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	if !delimited {
+	if !sound {
 		g.lostRequests.add(endpoint, c.features, now)
 		return
 	}
