Try a refused part again soon after the crashes

Cause: found by reading: in an outage of all endpoints, one after the other, a part that all prompts share is in every crash and in no answer, and was refused for ten minutes after it. Change: one gateway lets a request with the part through 3 s after the latest crash, then 20 s, then ten minutes.

--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -16,7 +16,7 @@
 	// fleet may have for those that no gateway could record.
 	partThreshold = 3
 	// ProbeInterval is the time after the latest crash after which a request with a
-	// refused feature is let through again.
+	// refused feature is let through again, once the shorter waits have been in vain.
 	ProbeInterval = 10 * time.Minute
 	// tieProbeInterval is the time between two requests that are let through because the
 	// crashes blamed on their feature can be those of another.
@@ -36,6 +36,12 @@
 	expiryInterval = time.Second
 )
 
+// trialWaits are the times after the latest crash after which a request with a refused
+// part is let through, by the number of trials that ended in a crash. The first are
+// short for parts that were in many crashes by chance, as in an outage of all
+// endpoints.
+var trialWaits = [...]time.Duration{3 * time.Second, 20 * time.Second, ProbeInterval}
+
 // Verdict is the decision about a request.
 type Verdict int
 
@@ -245,8 +251,8 @@
 }
 
 // Judge decides about a request by the crashes that are blamed on its features. A
-// request whose features can be innocent is tried now and then, and so is one after
-// ProbeInterval without a crash if owner reports that this gateway may try the feature.
+// request whose features can be innocent is tried now and then, and so is one after a
+// while without a crash if owner reports that this gateway may try the feature.
 func (e *Evidence) Judge(r Request, now time.Time, owner func(Feature) bool) Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -261,7 +267,7 @@
 		case now.Sub(x.tried) < tieProbeInterval:
 			return Refuse
 		case e.tied(f, blamed, r):
-		case now.Sub(x.latest()) < ProbeInterval || now.Sub(x.tried) < ProbeInterval || !owner(f):
+		case now.Sub(x.latest()) < r.trialWait(f, x.failedTrials) || !owner(f):
 			return Refuse
 		}
 		tried = append(tried, x)
--- a/suspect/evidence_test.go
+++ b/suspect/evidence_test.go
@@ -23,6 +23,8 @@
 	whole suspect.Feature
 	// crashID is the incarnation of the last endpoint that crashed.
 	crashID uint32
+	// owner says that this gateway is the one that tries refused features.
+	owner bool
 }
 
 func newPlayed() *played {
@@ -45,7 +47,7 @@
 func (p *played) pass(d time.Duration) { p.now = p.now.Add(d) }
 
 func (p *played) judge(parts ...suspect.Feature) suspect.Verdict {
-	return p.Judge(p.request(parts...), p.now, func(suspect.Feature) bool { return true })
+	return p.Judge(p.request(parts...), p.now, func(suspect.Feature) bool { return p.owner })
 }
 
 func (p *played) answer(parts ...suspect.Feature) { p.AddAnswer(p.request(parts...), p.now) }
@@ -149,13 +151,13 @@
 				p.pass(second)
 			}
 		}, []suspect.Feature{bad}, suspect.Refuse},
-		{"long ago", func(p *played) {
+		{"long ago, tried by another gateway", func(p *played) {
 			for range 3 {
 				p.crash(p.request(bad))
 				p.pass(second)
 			}
 			p.pass(suspect.ProbeInterval)
-		}, []suspect.Feature{bad}, suspect.Try},
+		}, []suspect.Feature{bad}, suspect.Refuse},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPlayed()
@@ -165,6 +167,46 @@
 	}
 }
 
+// Guards against a feature that stays refused although it was in the crashes by chance,
+// and against trials that crash many endpoints.
+func TestTrials(t *testing.T) {
+	p := newPlayed()
+	p.owner = true
+	for range 3 {
+		p.crash(p.request(bad))
+		p.pass(500 * time.Millisecond)
+	}
+	minute, hour := 0, 0
+	for begin := p.now; p.now.Sub(begin) < time.Hour; p.pass(250 * time.Millisecond) {
+		if p.judge(bad) != suspect.Try {
+			continue
+		}
+		hour++
+		if p.now.Sub(begin) < time.Minute {
+			minute++
+		}
+		p.pass(100 * time.Millisecond)
+		p.crash(p.request(bad))
+	}
+	require.Equal(t, 2, minute, "trials in the first minute")
+	require.Equal(t, 7, hour, "trials in an hour")
+
+	// An outage of all endpoints, one after the other.
+	p = newPlayed()
+	p.owner = true
+	for range 9 {
+		p.crash(p.request(first, left), p.request(first, left))
+		p.pass(300 * time.Millisecond)
+	}
+	require.Equal(t, suspect.Refuse, p.judge(first, left))
+	p.pass(3 * time.Second)
+	require.Equal(t, suspect.Try, p.judge(first, left))
+	p.pass(time.Second)
+	require.Equal(t, suspect.Try, p.judge(first, left), "the first trial had no outcome")
+	p.answer(first, left)
+	require.Equal(t, suspect.Accept, p.judge(first, left))
+}
+
 // Guards against one request that crashes endpoints, is sent again with the same body,
 // and has no part in common with others.
 func TestBlameWholeRequest(t *testing.T) {
--- a/suspect/feature.go
+++ b/suspect/feature.go
@@ -58,6 +58,15 @@
 	return partThreshold
 }
 
+// trialWait returns the time after the latest crash after which a request with a refused
+// feature is let through. The same request again has no reason to be sound sooner.
+func (r Request) trialWait(f Feature, failedTrials int) time.Duration {
+	if f == r.whole {
+		return ProbeInterval
+	}
+	return trialWaits[min(failedTrials, len(trialWaits)-1)]
+}
+
 // Crash is one crash of an endpoint.
 type Crash struct {
 	// ID identifies the endpoint or its incarnation. All entries use the same.
@@ -76,8 +85,10 @@
 	answered time.Time
 	// changed is the time of the last change of this record here.
 	changed time.Time
-	// tried is the time at which a request was last let through.
-	tried time.Time
+	// tried is the time at which a request was last let through, zero once it has
+	// crashed its endpoint. failedTrials counts those that have.
+	tried        time.Time
+	failedTrials int
 }
 
 // counted returns the crashes that no sound answer excludes.
@@ -104,6 +115,10 @@
 	if slices.ContainsFunc(r.crashes, c.same) {
 		return false
 	}
+	if !r.tried.IsZero() && c.At.After(r.tried) {
+		r.failedTrials++
+		r.tried = time.Time{}
+	}
 	i, _ := slices.BinarySearchFunc(r.crashes, c.At, func(e Crash, at time.Time) int { return e.At.Compare(at) })
 	r.crashes = slices.Insert(r.crashes, i, c)
 	if len(r.crashes) > maxCrashes {
@@ -123,7 +138,7 @@
 	if r.count() == before {
 		return false
 	}
-	r.changed = now
+	r.changed, r.failedTrials = now, 0
 	return true
 }
 
