--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,8 +20,8 @@
 // stream broke off.
 var errNotContinued = errors.New("stream is not continued")
 
-// errNoEvent is returned when the connection ends before the first event of a stream
-// that says not otherwise where it ends.
+// errNoEvent is returned when a stream whose end is that of its connection ends before its
+// first event.
 var errNoEvent = errors.New("connection ended before the first event")
 
 // minPaceEvents is the least number of events from which the pace of a stream is
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -275,8 +275,8 @@
 	return n, err
 }
 
-// Delimited reports whether the answer itself says where it ends. Any other ends with
-// its connection, and a crash of the endpoint can look like that.
+// Delimited reports whether the answer states its length or comes in chunks. Any other
+// ends with its connection, and a crash of the endpoint can look the same.
 func (a *Answer) Delimited() bool {
 	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -80,8 +80,8 @@
 
 // Call is a request to an endpoint.
 type Call struct {
-	// ID identifies the request. It is not sent twice on one connection, where the second
-	// copy of an earlier response could be taken for the response to the later one.
+	// ID identifies the request. It is not sent twice in a row on one connection, where a
+	// second copy of the earlier response could be taken for the later one.
 	ID string
 	// Method, Target and Host are sent unchanged.
 	Method, Target, Host string
