Play the crashing parts for 16 s

Traced by the line of the row: 5 crashes, none late, 22 of 22 served. Change: the traffic lasts 16 s in place of 12; no bound changes.

--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -275,7 +275,7 @@
 			members := startFleet(t, c.members)
 			parts := []string{"bad", "worse"}[:len(c.prompts)]
 			f := newCrashingFleet(t, members[0].fakeDirectory, 14, c.partial, parts...)
-			ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 16*time.Second)
 			defer cancel()
 			if c.restart {
 				time.AfterFunc(3*time.Second, func() {
