Notice that the directory turns this entry away amid changes of the table

Cause: the store turned all three coordinators away from 24.5 s on, and at that moment the table changed. Peers confirmed the new table, which a coordinator with the old one ignores, so it did not notice that others were answered, stayed coordinator and kept its list of endpoints for 8 s. Change: a newer table that a peer has got since the first failure shows the same as a confirmation. Result: TestEndpointsStaleAmidChanges failed before.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -566,6 +566,24 @@
 	})
 }
 
+// Guards against a coordinator that the directory turns away amid changes of the table,
+// so that its peers confirm a newer one than it has: in a simulated day all coordinators
+// granted slots of an endpoint 3.0 s after it had begun to leave.
+func TestEndpointsStaleAmidChanges(t *testing.T) {
+	d := &fakeDirectory{}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		d.update(func() { d.err = errDown })
+		time.Sleep(500 * time.Millisecond)
+		c.Hint(2)
+		c.Confirm(2, time.Hour+400*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		require.True(t, c.EndpointsStale(), "the directory gave a peer a newer table")
+		d.update(func() { d.err = nil })
+		time.Sleep(time.Second)
+		require.False(t, c.EndpointsStale())
+	})
+}
+
 // Guards against an outage for all that is taken for one of this entry only: a watch
 // that the outage ends began long before, and peers had the table confirmed meanwhile.
 // On a simulated day all coordinators stepped down, and requests were refused for lack
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -139,14 +139,22 @@
 	case c.endpointsFailedAt == 0:
 		c.endpointsFailedAt = c.uptime()
 	default:
-		confirmedAt := time.Duration(c.confirmedAt.Load())
-		answersPeers := confirmedAt > c.endpointsFailedAt+confirmSlack && confirmedAt < start
-		if answersPeers || c.isBehind(start) {
+		if c.peersAnswered(start) || c.isBehind(start) {
 			c.turnedAway.Store(true)
 		}
 	}
 }
 
+// peersAnswered reports whether the directory has answered a peer between the first
+// failure and the given uptime. A peer that confirms another table than that of this
+// entry shows it by the newer version.
+func (c *Catalog) peersAnswered(before time.Duration) bool {
+	after := c.endpointsFailedAt + confirmSlack
+	confirmedAt := time.Duration(c.confirmedAt.Load())
+	newerAt, newer := c.announced.first()
+	return confirmedAt > after && confirmedAt < before || newer && newerAt > after && newerAt < before
+}
+
 // isBehind reports whether a peer has known a newer list since before the given
 // uptime.
 func (c *Catalog) isBehind(at time.Duration) bool {
