--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -174,6 +174,18 @@
 	return res, true
 }
 
+// endAfterSound calls end once sound requests have been served for five seconds, twelve
+// seconds from now at the earliest.
+func (f *crashingFleet) endAfterSound(ctx context.Context, end func()) {
+	const least, sound = 12 * time.Second, 5 * time.Second
+	for began := time.Now(); ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		from, come := f.soundFrom()
+		if come && time.Since(from) > sound && time.Since(began) > least {
+			end()
+		}
+	}
+}
+
 func (f *crashingFleet) hasRun(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -275,8 +287,9 @@
 			members := startFleet(t, c.members)
 			parts := []string{"bad", "worse"}[:len(c.prompts)]
 			f := newCrashingFleet(t, members[0].fakeDirectory, 14, c.partial, parts...)
-			ctx, cancel := context.WithTimeout(context.Background(), 16*time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 			defer cancel()
+			go f.endAfterSound(ctx, cancel)
 			if c.restart {
 				time.AfterFunc(3*time.Second, func() {
 					members[3].stop()
