Tell peers which crashes were trials of a refused part

Cause: the number of failed trials of a refused part, which decides whether the next may come after 3 s, 20 s or 10 minutes, was kept only by the gateway that made them. A gateway that takes over, after a restart or a change of the live peers, began with the short waits again.

Change: a crash carries whether its request was a trial, in the record and in reports. The number of failed trials is that of such crashes which no sound answer excludes, so that trials of two gateways that do not hear each other add up once they do.

--- a/frame/message.go
+++ b/frame/message.go
@@ -126,6 +126,9 @@
 	ID uint32
 	// AgeMillis is the time since the crash in milliseconds.
 	AgeMillis int64
+	// Trial is set if the lost request had been let through although its feature was
+	// refused.
+	Trial bool
 }
 
 // Floor is the rank of the lowest tier admitted for a model.
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -37,7 +37,7 @@
 )
 
 // trialWaits are the times after the latest crash after which a request with a refused
-// part is let through, by the number of trials that ended in a crash. The first are
+// part is let through, by the number of trials, of all entries, that ended in a crash. The first are
 // short for parts that were in many crashes by chance, as in an outage of all
 // endpoints.
 var trialWaits = [...]time.Duration{3 * time.Second, 20 * time.Second, ProbeInterval}
@@ -78,7 +78,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, f := range r.features {
-		if x := e.record(f, now); x.add(Crash{ID: id, At: now}) {
+		if x := e.record(f, now); x.addOwn(Crash{ID: id, At: now}) {
 			x.changed = now
 		}
 	}
@@ -149,7 +149,7 @@
 		}
 		x := e.record(p.Feature, now)
 		for _, c := range crashes {
-			if x.add(Crash{ID: c.ID, At: dated(c.AgeMillis, now)}) {
+			if x.add(Crash{ID: c.ID, At: dated(c.AgeMillis, now), Trial: c.Trial}) {
 				x.changed, news = now, true
 			}
 		}
@@ -205,7 +205,7 @@
 	}
 	crashes := spaced(r.crashes)
 	for _, c := range crashes[:min(len(crashes), maxReportedCrashes)] {
-		res.Crashes = append(res.Crashes, frame.EvidenceCrash{ID: c.ID, AgeMillis: now.Sub(c.At).Milliseconds()})
+		res.Crashes = append(res.Crashes, frame.EvidenceCrash{ID: c.ID, AgeMillis: now.Sub(c.At).Milliseconds(), Trial: c.Trial})
 	}
 	return res
 }
@@ -267,7 +267,7 @@
 		case now.Sub(x.tried) < tieProbeInterval:
 			return Refuse
 		case e.tied(f, blamed, r):
-		case now.Sub(x.latest()) < r.trialWait(f, x.failedTrials) || !owner(f):
+		case now.Sub(x.latest()) < r.trialWait(f, x.failedTrials()) || !owner(f):
 			return Refuse
 		}
 		tried = append(tried, x)
--- a/suspect/evidence_test.go
+++ b/suspect/evidence_test.go
@@ -207,6 +207,33 @@
 	require.Equal(t, suspect.Accept, p.judge(first, left))
 }
 
+// Guards against endpoints crashed by the trials of entries that take over from one
+// another, such as after restarts.
+func TestTrialsOfSuccessors(t *testing.T) {
+	p := newPlayed()
+	p.owner = true
+	for range 3 {
+		p.crash(p.request(bad))
+		p.pass(500 * time.Millisecond)
+	}
+	trials := 0
+	for i := range 240 {
+		p.pass(250 * time.Millisecond)
+		if i%20 == 0 {
+			successor := newPlayed()
+			successor.owner, successor.now, successor.whole, successor.crashID = true, p.now, p.whole, p.crashID
+			successor.Merge(p.Report(p.now, 12), p.now)
+			p = successor
+		}
+		if p.judge(bad) == suspect.Try {
+			trials++
+			p.pass(100 * time.Millisecond)
+			p.crash(p.request(bad))
+		}
+	}
+	require.Equal(t, 2, trials, "trials in a minute with a restart every 5 s")
+}
+
 // Guards against one request that crashes endpoints, is sent again with the same body,
 // and has no part in common with others.
 func TestBlameWholeRequest(t *testing.T) {
--- a/suspect/feature.go
+++ b/suspect/feature.go
@@ -72,6 +72,8 @@
 	// ID identifies the endpoint or its incarnation. All entries use the same.
 	ID uint32
 	At time.Time
+	// Trial is set if the lost request had been let through as a trial.
+	Trial bool
 }
 
 // same reports whether both are reports of the same crash.
@@ -85,10 +87,9 @@
 	answered time.Time
 	// changed is the time of the last change of this record here.
 	changed time.Time
-	// tried is the time at which a request was last let through, zero once it has
-	// crashed its endpoint. failedTrials counts those that have.
-	tried        time.Time
-	failedTrials int
+	// tried is the time at which a request was last let through here, zero once it has
+	// crashed its endpoint.
+	tried time.Time
 }
 
 // counted returns the crashes that no sound answer excludes.
@@ -107,18 +108,36 @@
 // count returns the number of counted crashes that are minCrashSpacing apart.
 func (r *featureRecord) count() int { return len(spaced(r.counted())) }
 
+// failedTrials returns the number of counted crashes that were trials.
+func (r *featureRecord) failedTrials() (res int) {
+	for _, c := range r.counted() {
+		if c.Trial {
+			res++
+		}
+	}
+	return res
+}
+
 // latest returns the time of the latest crash.
 func (r *featureRecord) latest() time.Time { return r.crashes[len(r.crashes)-1].At }
 
-// add adds a crash and reports whether it is new.
-func (r *featureRecord) add(c Crash) bool {
-	if slices.ContainsFunc(r.crashes, c.same) {
-		return false
-	}
-	if !r.tried.IsZero() && c.At.After(r.tried) {
-		r.failedTrials++
+// addOwn adds a crash under a request that this entry sent. It reports whether the
+// crash, or that it was a trial, is new.
+func (r *featureRecord) addOwn(c Crash) bool {
+	if c.Trial = !r.tried.IsZero() && c.At.After(r.tried); c.Trial {
 		r.tried = time.Time{}
 	}
+	return r.add(c)
+}
+
+// add adds a crash and reports whether it, or that it was a trial, is new.
+func (r *featureRecord) add(c Crash) bool {
+	if i := slices.IndexFunc(r.crashes, c.same); i >= 0 {
+		known := &r.crashes[i]
+		news := c.Trial && !known.Trial
+		known.Trial = known.Trial || c.Trial
+		return news
+	}
 	i, _ := slices.BinarySearchFunc(r.crashes, c.At, func(e Crash, at time.Time) int { return e.At.Compare(at) })
 	r.crashes = slices.Insert(r.crashes, i, c)
 	if len(r.crashes) > maxCrashes {
@@ -138,7 +157,7 @@
 	if r.count() == before {
 		return false
 	}
-	r.changed, r.failedTrials = now, 0
+	r.changed = now
 	return true
 }
 
