Decide in one place which entry tries a refused feature again

Cause: gateway and entry had the same rule with hashes of their own, and member.Rank is that hash already.

Change: suspect.Owns decides, by member.Rank, for both. No change of behaviour but which entry owns which feature.

--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -3,8 +3,6 @@
 import (
 	"hash/fnv"
 	"io"
-	"slices"
-	"strconv"
 	"time"
 
 	"damasktrail.dev/member"
@@ -33,21 +31,22 @@
 	if c.tried {
 		return false
 	}
-	verdict := e.evidence.Judge(c.features, e.clock.Now(), e.tries)
+	verdict := e.evidence.Judge(c.features, e.clock.Now(), e.owns)
 	c.tried = verdict == suspect.Try
 	return verdict == suspect.Refuse
 }
 
-// tries reports whether this entry is the one that tries a feature again after a long
-// time. Each live entry has its share of the features.
-func (e *Entry) tries(f suspect.Feature) bool {
+// owns reports whether this entry is the one that tries a refused feature again.
+func (e *Entry) owns(f suspect.Feature) bool {
 	l := e.members.Load()
 	if l == nil {
 		return false
 	}
-	rank := func(name string) uint64 { return digest(name, strconv.FormatUint(f, 16)) }
-	own := rank(e.settings.Name)
-	return !slices.ContainsFunc(l.VMs, func(vm *member.VM) bool {
-		return vm.Role == member.RoleEntry && vm.State == member.StateLive && rank(vm.Name) > own
-	})
+	var entries []string
+	for _, vm := range l.VMs {
+		if vm.Role == member.RoleEntry && vm.State == member.StateLive {
+			entries = append(entries, vm.Name)
+		}
+	}
+	return suspect.Owns(e.settings.Name, entries, f)
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -140,21 +140,14 @@
 	if c.tried {
 		return false
 	}
-	verdict := c.g.evidence.Judge(c.features, c.g.clock.Now(), c.g.probes)
+	verdict := c.g.evidence.Judge(c.features, c.g.clock.Now(), c.g.owns)
 	c.tried = verdict == suspect.Try
 	return verdict == suspect.Refuse
 }
 
-// probes reports whether this gateway is the one that tries a feature again after a
-// long time. Each live gateway has its share of the features.
-func (g *Gateway) probes(f suspect.Feature) bool {
-	rank := func(name string) uint64 {
-		h := fnv.New64a()
-		_, _ = fmt.Fprint(h, name, " ", f)
-		return h.Sum64()
-	}
-	own := rank(g.settings.Name)
-	return !slices.ContainsFunc(g.exchange.Peers(), func(peer string) bool { return rank(peer) > own })
+// owns reports whether this gateway is the one that tries a refused feature again.
+func (g *Gateway) owns(f suspect.Feature) bool {
+	return suspect.Owns(g.settings.Name, g.exchange.Peers(), f)
 }
 
 // logRefusedParts logs changes of the parts of prompts that are refused.
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"damasktrail.dev/frame"
+	"damasktrail.dev/member"
 )
 
 const (
@@ -252,8 +254,8 @@
 
 // Judge decides about a request by the crashes that are blamed on its features. A
 // request whose features can be innocent is tried now and then, and so is one after a
-// while without a crash if owner reports that this gateway may try the feature.
-func (e *Evidence) Judge(r Request, now time.Time, owner func(Feature) bool) Verdict {
+// while without a crash if owns reports that this entry may try the feature.
+func (e *Evidence) Judge(r Request, now time.Time, owns func(Feature) bool) Verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var tried []*featureRecord
@@ -267,7 +269,7 @@
 		case now.Sub(x.tried) < tieProbeInterval:
 			return Refuse
 		case e.tied(f, blamed, r):
-		case now.Sub(x.latest()) < r.trialWait(f, x.failedTrials()) || !owner(f):
+		case now.Sub(x.latest()) < r.trialWait(f, x.failedTrials()) || !owns(f):
 			return Refuse
 		}
 		tried = append(tried, x)
@@ -281,6 +283,14 @@
 	return Accept
 }
 
+// Owns reports whether the entry is the one of the live entries that tries the feature
+// again. Each has its share of the features; others may contain the entry itself.
+func Owns(entry string, others []string, f Feature) bool {
+	key := strconv.FormatUint(f, 16)
+	own := member.Rank(key, entry)
+	return !slices.ContainsFunc(others, func(other string) bool { return member.Rank(key, other) > own })
+}
+
 // tied reports whether each crash blamed on a feature can be blamed as well on another
 // one that the request does not have.
 func (e *Evidence) tied(f Feature, blamed []Crash, r Request) bool {
