Send no requests to endpoints that have said that they want none

Cause: an endpoint that leaves says so in all its answers, and one that turns a request away with 503 may say for how long it wants none from this VM. Nothing decoded either: a leaving endpoint was used until the directory told, a pausing one again after 60 ms.

Change: the dialect decodes both as a notice. fleet.Notices keeps them by process: a pause of at most 10 minutes, leaving for an hour. Each ask for a slot lists the endpoints that are closed to the entry, so that the scheduler, that of a coordinator too, passes them over for this entry and for no other, and estimates waits and retry delays without them. A slot at an endpoint that has closed while its grant was on the way is given back. New log line `endpoint wants no requests`, counters endpoints_leaving and endpoint_pauses.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -30,6 +30,13 @@
 	// and a few lists may be lost, and a slot must be older than minHoldingAge to be
 	// released by a list.
 	emptyHoldingsTime = 2 * time.Second
+	// maxClosures bounds the endpoints that one ask lists as closed to the entry, so
+	// that it fits into one packet.
+	maxClosures = 24
+	// maxReturnedSlots is the number of slots at closed endpoints that a request gives
+	// back before it is refused, and closedRetryAfter the retry delay of that refusal.
+	maxReturnedSlots = 8
+	closedRetryAfter = 200 * time.Millisecond
 )
 
 // Fleet tells a client which coordinators there are. Its methods must not block.
@@ -54,8 +61,10 @@
 	// local assigns requests to endpoints when this entry is a coordinator or none
 	// replies.
 	local Scheduler
-	clock damasktrail.Clock
-	log   *slog.Logger
+	// notices has what endpoints have said to this entry.
+	notices *fleet.Notices
+	clock   damasktrail.Clock
+	log     *slog.Logger
 
 	mu     sync.Mutex
 	lastID uint64
@@ -99,9 +108,9 @@
 
 // NewClient returns a client for the entry of that name. boot must differ between
 // two starts of the process.
-func NewClient(name string, boot uint64, peers Fleet, local Scheduler, clock damasktrail.Clock, log *slog.Logger) *Client {
+func NewClient(name string, boot uint64, peers Fleet, local Scheduler, notices *fleet.Notices, clock damasktrail.Clock, log *slog.Logger) *Client {
 	return &Client{
-		name: name, boot: boot, fleet: peers, local: local, clock: clock, log: log,
+		name: name, boot: boot, fleet: peers, local: local, notices: notices, clock: clock, log: log,
 		waiting: map[uint64]*waitingAsk{}, held: map[uint64]*Slot{}, unresponsive: map[string]time.Time{}, lastUse: map[string]time.Time{},
 	}
 }
@@ -113,9 +122,27 @@
 
 // Acquire waits for a slot. It returns a refusal, always [damasktrail.NotRun], when
 // none will be free in time or ctx ends. When no coordinator replies, the entry's own
-// scheduler decides.
+// scheduler decides. A slot at an endpoint that has said meanwhile that it wants no
+// requests from this entry is given back.
 func (c *Client) Acquire(ctx context.Context, r dispatch.Request) (*Slot, *damasktrail.Refusal) {
 	start := c.clock.Now()
+	for range maxReturnedSlots {
+		s, refused := c.acquire(ctx, r.WithElapsed(c.clock.Now().Sub(start)))
+		if refused != nil || !c.notices.Closed(s.Endpoint, c.clock.Now()) {
+			return s, refused
+		}
+		s.Done(dispatch.Cancelled, 0)
+	}
+	return nil, &damasktrail.Refusal{
+		Reason: damasktrail.ReasonNotReady, Outcome: damasktrail.NotRun, RetryAfter: closedRetryAfter,
+		Detail: "the endpoints with free slots want no requests from this entry",
+	}
+}
+
+// acquire waits for one slot.
+func (c *Client) acquire(ctx context.Context, r dispatch.Request) (*Slot, *damasktrail.Refusal) {
+	start := c.clock.Now()
+	r.Closed = c.notices.Closures(r.Service, maxClosures, start)
 	for _, name := range c.order() {
 		if name == c.name {
 			break
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -41,6 +41,7 @@
 	coordinator.Member
 	network   *network
 	scheduler *dispatch.Scheduler
+	notices   *fleet.Notices
 	client    *coordinator.Client
 	server    *coordinator.Server
 	// down says that the entry gets and sends nothing.
@@ -63,6 +64,7 @@
 	}
 	for _, m := range members {
 		p := &node{Member: m, network: n}
+		p.notices = fleet.NewNotices()
 		p.scheduler = dispatch.New(n.clock, m.Name, m.Domain, func(bool) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -70,7 +72,7 @@
 		})
 		p.scheduler.SetTurns(dispatch.OwnerTurns)
 		p.scheduler.SetEndpoints(endpoints)
-		p.client = coordinator.NewClient(m.Name, 1, p, p.scheduler, n.clock, quiet())
+		p.client = coordinator.NewClient(m.Name, 1, p, p.scheduler, p.notices, n.clock, quiet())
 		p.newServer()
 		p.client.Start()
 		n.nodes[m.Name] = p
--- a/coordinator/fuzz_test.go
+++ b/coordinator/fuzz_test.go
@@ -11,6 +11,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
+	"damasktrail.dev/fleet"
 	"damasktrail.dev/group"
 	"damasktrail.dev/timer"
 )
@@ -51,7 +52,7 @@
 	f.Cleanup(tasks.Close)
 	clock := timer.New(tasks)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	c := coordinator.NewClient("own", 1, silentFleet{}, refusingScheduler{}, clock, log)
+	c := coordinator.NewClient("own", 1, silentFleet{}, refusingScheduler{}, fleet.NewNotices(), clock, log)
 	s := coordinator.NewServer(refusingScheduler{}, clock, tasks, log, func(string, []byte) {})
 	f.Fuzz(func(_ *testing.T, datagram []byte) {
 		_ = coordinator.Receive(c, s, "peer", datagram)
--- a/coordinator/load_test.go
+++ b/coordinator/load_test.go
@@ -122,3 +122,25 @@
 		require.Empty(t, client.client.OrphanedLoads())
 	})
 }
+
+// Guards against a slot at an endpoint that has asked the client for a pause while the
+// grant was on its way.
+func TestEndpointClosesDuringAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := fleet.Endpoint{ID: "e", Service: "llm", Domain: "d0", Slots: 4}
+		n := newNetwork(members(3, 8), fleet.Of(e), 0)
+		defer n.close()
+		n.clock.Subscribe(20*time.Millisecond, func(time.Time) { n.nodes["entry-0-00"].scheduler.Tick() })
+		client, server := n.nodes["entry-0-01"], n.nodes["entry-0-00"]
+		const pause = 300 * time.Millisecond
+		begin := time.Now()
+		n.clock.Schedule(time.Millisecond, func(now time.Time) { client.notices.Add(e, fleet.Notice{Pause: pause}, now) })
+		s, refused := client.client.Acquire(context.Background(), dispatch.Request{Service: "llm", Engine: true, Objective: time.Second, Timeout: 10 * time.Second})
+		require.Nil(t, refused)
+		require.Equal(t, server.Name, s.Coordinator)
+		require.GreaterOrEqual(t, time.Since(begin), pause)
+		require.Less(t, time.Since(begin), pause+50*time.Millisecond)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, server.scheduler.Report().Loads["e"].Requests, "the slot that was given back is still taken")
+	})
+}
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -66,6 +66,16 @@
 	TimeoutNanos   int64
 	Prompt         int
 	Avoid          string
+	Closed         []closure
+}
+
+// closure is the wire format of a fleet.Closure. RemainingNanos is negative if the closure
+// ends only with the process.
+type closure struct {
+	_              struct{} `cbor:",toarray"`
+	ID             string
+	StartedMillis  int64
+	RemainingNanos int64
 }
 
 // slot is the wire format of a dispatch.Grant.
@@ -94,17 +104,33 @@
 }
 
 func newAsk(r dispatch.Request) *ask {
-	return &ask{
+	res := &ask{
 		Service: r.Service, Engine: r.Engine, Organisation: r.Organisation, Tier: r.Tier,
 		ObjectiveNanos: int64(r.Objective), TimeoutNanos: int64(r.Timeout), Prompt: r.Prompt, Avoid: r.Avoid,
 	}
+	for _, c := range r.Closed {
+		remaining := int64(c.Remaining)
+		if c.Remaining == fleet.Forever {
+			remaining = -1
+		}
+		res.Closed = append(res.Closed, closure{ID: c.ID, StartedMillis: c.StartedMillis, RemainingNanos: remaining})
+	}
+	return res
 }
 
 func (a *ask) request(client string) dispatch.Request {
-	return dispatch.Request{
+	res := dispatch.Request{
 		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: max(0, a.Tier),
 		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid, Client: client,
 	}
+	for _, c := range a.Closed[:min(len(a.Closed), maxClosures)] {
+		remaining := time.Duration(c.RemainingNanos)
+		if remaining < 0 {
+			remaining = fleet.Forever
+		}
+		res.Closed = append(res.Closed, fleet.Closure{Process: fleet.Process{ID: c.ID, StartedMillis: c.StartedMillis}, Remaining: remaining})
+	}
+	return res
 }
 
 func newSlot(g *dispatch.Grant) *slot {
--- a/dialect.go
+++ b/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"damasktrail.dev/fleet"
 )
 
 // CallFields holds the header fields of a caller's request that the scheduler
@@ -46,6 +48,8 @@
 	ID string
 	// NotRun is set if the endpoint has not run the request and never will.
 	NotRun bool
+	// Notice is what the endpoint says of itself.
+	Notice fleet.Notice
 }
 
 // Dialect decodes and encodes the header fields that callers, the scheduler and
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,6 +33,9 @@
 	minWait = 100 * time.Millisecond
 	// maxWaitingRequests bounds the queue of one service at one entry.
 	maxWaitingRequests = 1024
+	// maxDeferred bounds the requests that one call of assign passes over because the
+	// endpoints with free slots want none from their entries.
+	maxDeferred = 8
 	// minRetryAfter and maxRetryAfter bound the retry delay in a refusal.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
@@ -97,6 +100,8 @@
 	Avoid string
 	// Client is the name of the entry that sends the request; empty for this one.
 	Client string
+	// Closed has the endpoints that want no requests from that entry.
+	Closed []fleet.Closure
 }
 
 // WithElapsed returns the request as it is after a time has passed.
@@ -123,6 +128,8 @@
 // waiter is a waiting request.
 type waiter struct {
 	request Request
+	// arrived is the time at which it began to wait.
+	arrived time.Time
 	// granted receives one grant. It is closed when the request expires in the queue.
 	granted chan *Grant
 }
@@ -229,7 +236,7 @@
 // Acquire waits for a slot. It returns a refusal, always [damasktrail.NotRun],
 // when none will be free in time or ctx ends.
 func (s *Scheduler) Acquire(ctx context.Context, r Request) (*Grant, *damasktrail.Refusal) {
-	w := &waiter{request: r, granted: make(chan *Grant, 1)}
+	w := &waiter{request: r, arrived: s.clock.Now(), granted: make(chan *Grant, 1)}
 	s.mu.Lock()
 	v := s.service(r.Service)
 	v.engine = r.Engine
@@ -268,7 +275,7 @@
 func (s *Scheduler) enqueue(v *service, w *waiter) (id string, maxWait time.Duration, refusal *damasktrail.Refusal) {
 	r := w.request
 	maxWait = min(max(time.Duration(maxWaitRatio*float64(r.Objective)), minWait), r.Timeout)
-	wait, known := s.estimateWait(v, r)
+	wait, known := s.estimateWait(v, w)
 	if !known {
 		return "", 0, refuse(damasktrail.ReasonNotReady, minRetryAfter, "the service %q has no endpoint", r.Service)
 	}
@@ -294,7 +301,7 @@
 func (s *Scheduler) abandon(ctx context.Context, v *service, w *waiter, id string) (*Grant, *damasktrail.Refusal) {
 	s.mu.Lock()
 	_, waited := v.waiting.Remove(id)
-	wait, _ := s.estimateWait(v, w.request)
+	wait, _ := s.estimateWait(v, w)
 	s.mu.Unlock()
 	s.onChange(!waited)
 	if !waited {
@@ -320,21 +327,19 @@
 }
 
 // estimateWait estimates how long a request waits for a slot; known is false when
-// the service has no endpoint that takes requests. It is called with mu held.
-func (s *Scheduler) estimateWait(v *service, r Request) (res time.Duration, known bool) {
+// the service has no endpoint that takes its requests. It is called with mu held.
+func (s *Scheduler) estimateWait(v *service, w *waiter) (res time.Duration, known bool) {
+	r, now := w.request, s.clock.Now()
 	slots, free := 0, 0
 	for _, e := range v.endpoints {
-		if e.State != fleet.Ready || e.failures > 0 {
+		if e.State != fleet.Ready || e.failures > 0 || w.closedFor(e, now) > 0 {
 			continue
 		}
 		slots += v.capacity(e)
 		free += max(0, v.capacity(e)-s.inFlight(e))
 	}
 	if slots == 0 {
-		for _, e := range v.endpoints {
-			known = known || e.State == fleet.Ready
-		}
-		return 0, known
+		return v.shortestClosure(w, now)
 	}
 	ahead := 0
 	v.waiting.EachTier(func(rank, count int) {
@@ -365,27 +370,38 @@
 	for _, e := range v.endpoints {
 		e.setFreeSlots(s.freeSlots(v, e, now), now)
 	}
-	for v.waiting.Len() > 0 {
+	var deferred []queue.Item[*waiter]
+	for v.waiting.Len() > 0 && len(deferred) < maxDeferred {
 		candidates, next := s.availableSlots(v, now)
 		if len(candidates) == 0 {
 			s.scheduleAssign(v, next)
-			return
+			break
 		}
 		it, ok := v.waiting.Pop(now)
 		if !ok {
-			return
+			break
 		}
-		w := it.Value
-		e := s.choose(v, w.request, candidates, now)
-		g := &Grant{Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, client: w.request.Client, grantedAt: now}
-		g.Choice = Choice{
-			Own: len(e.grants), Peers: s.peerLoads[e.ID].Requests,
-			Pace: time.Duration(e.paceSeconds * float64(time.Second)), Free: len(candidates),
+		maps.DeleteFunc(candidates, func(e *endpoint, _ int) bool { return it.Value.closedFor(e, now) > 0 })
+		if len(candidates) == 0 {
+			deferred = append(deferred, it)
+			continue
 		}
-		e.grants[g] = struct{}{}
-		e.setFreeSlots(s.freeSlots(v, e, now), now)
-		w.granted <- g
+		s.grant(v, it.Value, candidates, now)
+	}
+	v.requeue(deferred, now)
+}
+
+// grant gives a request a slot of one of the candidates. It is called with mu held.
+func (s *Scheduler) grant(v *service, w *waiter, candidates map[*endpoint]int, now time.Time) {
+	e := s.choose(v, w.request, candidates, now)
+	g := &Grant{Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, client: w.request.Client, grantedAt: now}
+	g.Choice = Choice{
+		Own: len(e.grants), Peers: s.peerLoads[e.ID].Requests,
+		Pace: time.Duration(e.paceSeconds * float64(time.Second)), Free: len(candidates),
 	}
+	e.grants[g] = struct{}{}
+	e.setFreeSlots(s.freeSlots(v, e, now), now)
+	w.granted <- g
 }
 
 // scheduleAssign calls assign after a delay, unless the delay is zero or an earlier
--- /dev/null
+++ b/fleet/notice.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// Forever is the remaining time of a closure that ends only with the process.
+	Forever = time.Duration(math.MaxInt64)
+	// MaxPause is the longest pause that an endpoint can ask for.
+	MaxPause = 10 * time.Minute
+	// leavingRetention is how long it is kept that an endpoint leaves. One that is still
+	// listed after that is tried again.
+	leavingRetention = time.Hour
+	// maxNotices bounds the endpoints of which a notice is kept.
+	maxNotices = 1 << 14
+)
+
+// Process identifies one process of an endpoint.
+type Process struct {
+	ID            string
+	StartedMillis int64
+}
+
+// Process returns the process of the endpoint.
+func (e Endpoint) Process() Process { return Process{ID: e.ID, StartedMillis: e.StartedMillis} }
+
+// Notice is what an endpoint says of itself in an answer. It is about the requests of
+// the VM that got the answer.
+type Notice struct {
+	// Leaving says that the endpoint takes no new requests.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests, zero when it wants them.
+	Pause time.Duration
+}
+
+// Closure says that an endpoint wants no requests from one entry.
+type Closure struct {
+	Process
+	// Remaining is for how long, at the time of the call that returned the closure.
+	Remaining time.Duration
+}
+
+// Notices keeps the notices of endpoints to one entry. It is safe for concurrent use.
+type Notices struct {
+	mu     sync.Mutex
+	closed map[Process]closed
+}
+
+// closed is the state of an endpoint that wants no requests.
+type closed struct {
+	service string
+	leaving bool
+	// heard is the time of the last notice, until the end of the pause or, if the
+	// endpoint leaves, the time at which the notice is dropped.
+	heard, until time.Time
+}
+
+// NewNotices returns a set without notices.
+func NewNotices() *Notices { return &Notices{closed: map[Process]closed{}} }
+
+// Add records a notice and reports whether it changes what is known of the endpoint. A
+// later pause replaces an earlier one only if it ends later.
+func (n *Notices) Add(e Endpoint, x Notice, now time.Time) (news bool) {
+	if !x.Leaving && x.Pause <= 0 {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old, found := n.closed[e.Process()]
+	if found && old.leaving {
+		return false
+	}
+	until := now.Add(min(x.Pause, MaxPause))
+	if x.Leaving {
+		until = now.Add(leavingRetention)
+	}
+	if !until.After(old.until) {
+		return false
+	}
+	if !found && len(n.closed) >= maxNotices {
+		n.evict()
+	}
+	n.closed[e.Process()] = closed{service: e.Service, leaving: x.Leaving, heard: now, until: until}
+	return true
+}
+
+// evict drops the notice that was heard first.
+func (n *Notices) evict() {
+	var victim Process
+	var oldest time.Time
+	for p, c := range n.closed {
+		if oldest.IsZero() || c.heard.Before(oldest) {
+			victim, oldest = p, c.heard
+		}
+	}
+	delete(n.closed, victim)
+}
+
+// Closed reports whether the endpoint wants no requests now.
+func (n *Notices) Closed(e Endpoint, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return now.Before(n.closed[e.Process()].until)
+}
+
+// Closures returns the endpoints of a service that want no requests now, at most limit
+// of them, those heard last.
+func (n *Notices) Closures(service string, limit int, now time.Time) []Closure {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var processes []Process
+	for p, c := range n.closed {
+		if c.service == service && now.Before(c.until) {
+			processes = append(processes, p)
+		}
+	}
+	slices.SortFunc(processes, func(a, b Process) int {
+		return cmp.Or(n.closed[b].heard.Compare(n.closed[a].heard), cmp.Compare(a.ID, b.ID))
+	})
+	var res []Closure
+	for _, p := range processes[:min(limit, len(processes))] {
+		c := n.closed[p]
+		x := Closure{Process: p, Remaining: c.until.Sub(now)}
+		if c.leaving {
+			x.Remaining = Forever
+		}
+		res = append(res, x)
+	}
+	return res
+}
+
+// Expire drops the notices that no longer hold.
+func (n *Notices) Expire(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for p, c := range n.closed {
+		if !now.Before(c.until) {
+			delete(n.closed, p)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/exchange"
+	"damasktrail.dev/fleet"
 	"damasktrail.dev/group"
 	"damasktrail.dev/quota"
 	"damasktrail.dev/routing"
@@ -76,6 +77,7 @@
 	slotServer      *coordinator.Server
 	quotas          *quota.Ledger
 	evidence        *suspect.Evidence
+	notices         *fleet.Notices
 	pool            *upstream.Pool
 	callerServer    *http.Server
 	readinessServer *http.Server
@@ -115,13 +117,14 @@
 		settings: s, dialect: dialect, clock: clock, tasks: tasks, log: log, metrics: m,
 		quotas:       quota.New(),
 		evidence:     suspect.NewEvidence(),
+		notices:      fleet.NewNotices(),
 		lostRequests: newLostRequests(),
 		retryShares:  map[string]*budget.Share{},
 	}
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
 	g.catalog = catalog.New(directory, clock, uptime, catalogFleet{g}, log, g.applySnapshot)
 	g.scheduler = dispatch.New(clock, s.Name, s.Domain, func(urgent bool) { g.exchange.Changed(urgent) })
-	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, clock, log)
+	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, g.notices, clock, log)
 	g.slotServer = coordinator.NewServer(g.scheduler, clock, tasks, log, func(client string, datagram []byte) { g.exchange.Send(client, datagram) })
 	self := coordinator.Member{Name: s.Name, Domain: s.Domain, Millicores: s.Millicores}
 	g.exchange, err = exchange.New(self, s.Peers, s.Seeds, boot, exchangeHandler{g}, clock, uptime, log)
@@ -189,6 +192,7 @@
 	g.scheduler.Tick()
 	g.pool.Expire(now)
 	g.evidence.Expire(now)
+	g.notices.Expire(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lostRequests.expire(now)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
+	"damasktrail.dev/fleet"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/upstream"
 )
@@ -134,6 +135,7 @@
 func (c *call) handleAnswer(ctx context.Context, grant *coordinator.Slot, a *upstream.Answer, out *relay) (again bool, st *statusError) {
 	defer a.Close()
 	fields := c.g.dialect.Answer(a.Status, a.Header)
+	c.recordNotice(grant.Endpoint, fields.Notice)
 	if fields.NotRun {
 		return c.handleNotRun(grant, a)
 	}
@@ -164,6 +166,20 @@
 	return c.handleLost(ctx, grant, err, out.attemptEvents >= soundEvents), c.unknownOutcome(ctx, err)
 }
 
+// recordNotice records what an endpoint says of itself.
+func (c *call) recordNotice(e fleet.Endpoint, n fleet.Notice) {
+	g := c.g
+	if !g.notices.Add(e, n, g.clock.Now()) {
+		return
+	}
+	if n.Leaving {
+		g.metrics.Count("endpoints_leaving", 1)
+	} else {
+		g.metrics.Count("endpoint_pauses", 1)
+	}
+	g.log.Info("endpoint wants no requests", "endpoint", e.ID, "service", e.Service, "leaving", n.Leaving, "pause", n.Pause, "id", c.fields.ID)
+}
+
 // handleNotRun handles an endpoint's answer that it did not run the request.
 func (c *call) handleNotRun(grant *coordinator.Slot, a *upstream.Answer) (again bool, st *statusError) {
 	a.Discard()
