Let requests with a ticket wait when their endpoint cannot be reached

The log shows that it was sent on after the kill and before the agent knew: the agent counts an endpoint as healthy until a request crashes or two health checks fail, up to a second. All that waits is sent to a dead endpoint then, one after the other. Idempotent requests move to other agents; one with a ticket can run only there and was refused.

Not found: why the request before it, which was running at the kill, ended without a line.

Change: when no byte of a request reached the endpoint, the agent marks it as unhealthy at once, which returns what waits, and a request with a ticket waits again for the rest of its deadline.

--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -86,6 +86,12 @@
 	return &decision{started: make(chan struct{}), refused: make(chan *damasktrail.Refusal, 1)}
 }
 
+// start reports that the request may be sent to the endpoint.
+func (d *decision) start() { close(d.started) }
+
+// refuse reports that the request is refused.
+func (d *decision) refuse(r *damasktrail.Refusal) { d.refused <- r }
+
 func (a *Agent) newWork(open frame.Open, decision *decision) *work {
 	id := open.ID
 	if open.Ticket != "" {
@@ -104,8 +110,8 @@
 			Deadline:     time.Duration(open.DeadlineMillis) * time.Millisecond,
 			Fingerprint:  open.Fingerprint,
 		},
-		start:  func() { close(decision.started) },
-		refuse: func(r *damasktrail.Refusal) { decision.refused <- r },
+		start:  decision.start,
+		refuse: decision.refuse,
 	}
 }
 
@@ -181,7 +187,7 @@
 // relay runs a dispatched request and sends its answer on the stream.
 func (a *Agent) relay(s *attempt, w *work, open frame.Open) {
 	out := &streamSink{stream: s.Stream}
-	usage, refusal := a.run(s.Context(), w, open, out)
+	usage, refusal, _ := a.run(s.Context(), w, open, out)
 	if refusal != nil {
 		a.refuse(s, refusal)
 		return
@@ -208,10 +214,20 @@
 }
 
 // run sends a request to the endpoint, once and without retries, and passes the
-// answer to out.
-func (a *Agent) run(ctx context.Context, w *work, open frame.Open, out sink) (usage damasktrail.Usage, refusal *damasktrail.Refusal) {
+// answer to out. sent is false if no byte of the request reached the endpoint, which
+// cannot be reached then.
+func (a *Agent) run(ctx context.Context, w *work, open frame.Open, out sink) (usage damasktrail.Usage, refusal *damasktrail.Refusal, sent bool) {
 	complete := false
-	defer func() { a.post(func(c *control, now time.Time) { c.finish(w, complete, now) }) }()
+	sent = true
+	defer func() {
+		a.post(func(c *control, now time.Time) {
+			if !sent {
+				c.undispatched(w, now)
+				return
+			}
+			c.finish(w, complete, now)
+		})
+	}()
 	answer, err := a.engine.Run(ctx, damasktrail.Call{
 		ID:     open.ID,
 		Method: open.Method,
@@ -224,11 +240,12 @@
 		IdleTimeout: w.request.Deadline + answerTimeoutSlack,
 	})
 	if err != nil {
-		return usage, a.failureRefusal(ctx, w, err)
+		sent = ctx.Err() != nil || !errors.Is(err, damasktrail.ErrNotDispatched)
+		return usage, a.failureRefusal(ctx, w, err), sent
 	}
 	defer func() { _ = answer.Close() }()
 	if err := out.head(answer.Head()); err != nil {
-		return usage, cancelledRefusal()
+		return usage, cancelledRefusal(), true
 	}
 	for {
 		data, err := answer.Next()
@@ -237,16 +254,16 @@
 			if !open.Stream {
 				w.tokens.Store(int64(answer.Usage().Decode))
 			}
-			return answer.Usage(), nil
+			return answer.Usage(), nil, true
 		}
 		if err != nil {
-			return answer.Usage(), a.failureRefusal(ctx, w, err)
+			return answer.Usage(), a.failureRefusal(ctx, w, err), true
 		}
 		if open.Stream && w.tokens.Add(1) == 1 {
 			a.post(func(c *control, now time.Time) { c.recordFirstToken(w, now) })
 		}
 		if err := out.chunk(data); err != nil {
-			return answer.Usage(), cancelledRefusal()
+			return answer.Usage(), cancelledRefusal(), true
 		}
 	}
 }
@@ -262,11 +279,13 @@
 func (a *Agent) failureRefusal(ctx context.Context, w *work, err error) *damasktrail.Refusal {
 	switch {
 	case errors.Is(err, damasktrail.ErrNotDispatched):
+		a.log.Info("request did not reach the endpoint", "fingerprint", w.request.Fingerprint, "error", err)
 		return &damasktrail.Refusal{
 			Reason: damasktrail.ReasonNotReady, Outcome: damasktrail.NotRun,
 			RetryAfter: unavailableRetryAfter, Detail: "the endpoint cannot be reached",
 		}
 	case ctx.Err() != nil:
+		a.log.Info("request cancelled while it ran", "fingerprint", w.request.Fingerprint, "error", err)
 		return cancelledRefusal()
 	case errors.Is(err, damasktrail.ErrCrashed):
 		a.log.Warn("endpoint crashed", "fingerprint", w.request.Fingerprint, "error", err)
@@ -391,16 +410,24 @@
 func (a *Agent) startRecorded(c *control, open frame.Open, rec *recording, prepareRefusal *damasktrail.Refusal, now time.Time) {
 	decision := newDecision()
 	w := a.newWork(open, decision)
+	deadline := now.Add(w.request.Deadline)
 	a.tasks.Go(func(ctx context.Context) {
-		select {
-		case <-decision.started:
-		case r := <-decision.refused:
-			a.finishRecorded(open.Ticket, rec, func(*control) {}, damasktrail.Usage{}, r)
-			return
-		case <-ctx.Done():
-			return
+		var usage damasktrail.Usage
+		var refusal *damasktrail.Refusal
+		for sent := false; !sent; {
+			select {
+			case <-decision.started:
+			case r := <-decision.refused:
+				a.finishRecorded(open.Ticket, rec, func(*control) {}, damasktrail.Usage{}, r)
+				return
+			case <-ctx.Done():
+				return
+			}
+			if usage, refusal, sent = a.run(ctx, w, open, rec); !sent {
+				decision = newDecision()
+				a.requeue(w, decision, deadline)
+			}
 		}
-		usage, refusal := a.run(ctx, w, open, rec)
 		a.finishRecorded(open.Ticket, rec, func(c *control) {
 			if refusal != nil {
 				c.ledger.Fail(open.Ticket, refusal)
@@ -416,6 +443,15 @@
 	c.admit(w, open.Floor, now)
 }
 
+// requeue lets a request with a ticket that did not reach the endpoint wait for the
+// endpoint's return.
+func (a *Agent) requeue(w *work, d *decision, deadline time.Time) {
+	a.post(func(c *control, now time.Time) {
+		w.start, w.refuse = d.start, d.refuse
+		c.requeue(w, deadline.Sub(now), now)
+	})
+}
+
 // finishRecorded records the outcome in the ledger before any caller sees it.
 func (a *Agent) finishRecorded(id string, rec *recording, updateLedger func(c *control), usage damasktrail.Usage, refusal *damasktrail.Refusal) {
 	a.post(func(c *control, _ time.Time) {
--- a/agent/control.go
+++ b/agent/control.go
@@ -40,8 +40,8 @@
 	stream bool
 	// decodeP90 is the estimated 0.9 quantile of the number of generated tokens.
 	decodeP90 int
-	// The control goroutine calls exactly one of start and refuse, once.
-	// Neither blocks.
+	// The control goroutine calls exactly one of start and refuse, once for each time
+	// that the work is admitted or requeued. Neither blocks.
 	start  func()
 	refuse func(*damasktrail.Refusal)
 
@@ -107,6 +107,12 @@
 		c.refuse(w, refusal, now)
 		return
 	}
+	c.enqueue(w, now)
+}
+
+// enqueue lets an admitted request wait, or refuses it when there is no room or not enough
+// time.
+func (c *control) enqueue(w *work, now time.Time) {
 	if c.suspects.Crashes(w.request.Fingerprint, now) > 0 {
 		c.suspectQueue = append(c.suspectQueue, &queuedSuspect{work: w, deadline: now.Add(w.request.Deadline)})
 		c.dispatch(now)
@@ -168,6 +174,13 @@
 	return !ticketed || now.Sub(c.leavingSince) >= ticketGrace
 }
 
+func duplicateRefusal() *damasktrail.Refusal {
+	return &damasktrail.Refusal{
+		Reason: damasktrail.ReasonDuplicate, Outcome: damasktrail.Unknown,
+		Detail: "the ticket was used before",
+	}
+}
+
 func fullRefusal(detail string) *damasktrail.Refusal {
 	return &damasktrail.Refusal{
 		Reason: damasktrail.ReasonFull, Outcome: damasktrail.NotRun,
@@ -201,10 +214,7 @@
 			return
 		}
 		if w.ticket != "" && !c.ledger.Dispatch(w.ticket) {
-			w.refuse(&damasktrail.Refusal{
-				Reason: damasktrail.ReasonDuplicate, Outcome: damasktrail.Unknown,
-				Detail: "the ticket was used before",
-			})
+			w.refuse(duplicateRefusal())
 			continue
 		}
 		w.dispatchedAt = now
@@ -295,6 +305,29 @@
 	c.dispatch(now)
 }
 
+// undispatched removes a dispatched request of which no byte reached the endpoint. The
+// endpoint has probably crashed: it gets no more requests before a health check succeeds.
+func (c *control) undispatched(w *work, now time.Time) {
+	delete(c.running, w.id)
+	c.markUnhealthy(now)
+}
+
+// requeue lets a request with a ticket of which no byte reached the endpoint wait again,
+// for the rest of its deadline.
+func (c *control) requeue(w *work, remaining time.Duration, now time.Time) {
+	if !c.ledger.Requeue(w.ticket) {
+		w.refuse(duplicateRefusal())
+		return
+	}
+	w.request.Deadline = remaining
+	w.dispatchedAt = time.Time{}
+	if c.closed(true, now) {
+		c.refuse(w, leavingRefusal(), now)
+		return
+	}
+	c.enqueue(w, now)
+}
+
 // measure ends a window of the speed measurement.
 func (c *control) measure(now time.Time) {
 	for _, w := range c.running {
--- a/agent/control_test.go
+++ b/agent/control_test.go
@@ -186,6 +186,20 @@
 					require.True(m.t, x.w.ticket != "" || x.dispatches > 0 || x.refusal != nil || m.c.healthy, "a request waits at an unhealthy endpoint")
 				}
 			},
+			"unreachable": func(*rapid.T) {
+				x := m.running()
+				if x == nil {
+					return
+				}
+				m.c.undispatched(x.w, m.now)
+				if x.w.ticket == "" {
+					x.finished = true
+					return
+				}
+				x.dispatches--
+				m.c.requeue(x.w, time.Second, m.now)
+				require.True(m.t, x.refusal != nil || x.dispatches == 0, "a request is sent to an endpoint that cannot be reached")
+			},
 			"recover": func(*rapid.T) { m.c.recordHealthCheck(true, m.now) },
 			"wait": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond)
--- a/ticket/ledger.go
+++ b/ticket/ledger.go
@@ -136,7 +136,8 @@
 }
 
 // Dispatch marks the request of a ticket as dispatched and reports whether it may
-// be sent to the endpoint. It returns true at most once for a ticket.
+// be sent to the endpoint. It returns true at most once for a ticket, and once more after
+// each [Ledger.Requeue].
 func (l *Ledger) Dispatch(ticket string) bool {
 	r := l.find(ticket)
 	if r == nil || r.phase != waiting {
@@ -146,6 +147,17 @@
 	return true
 }
 
+// Requeue marks a dispatched request as waiting again and reports whether it did. No byte
+// of the request may have reached the endpoint.
+func (l *Ledger) Requeue(ticket string) bool {
+	r := l.find(ticket)
+	if r == nil || r.phase != dispatched {
+		return false
+	}
+	r.phase = waiting
+	return true
+}
+
 // Finish records the end of a dispatched request. It stores the answer unless it
 // exceeds the size limit, and evicts others to make room. It reports whether the
 // request was dispatched and had not ended.
