Probe endpoints that lost requests again after 250 ms and a second

Cause: a process that dies may close its connections before its port. The one probe, 10 ms after a loss, then finds a sound endpoint, and the crash is known only if this gateway happens to send another request there within 2 s. With many gateways and few requests it rarely does.

Change: two further probes, unless the endpoint has answered a request that was sent after the loss.

Result: TestPartOfPromptThatCrashesEndpoints has a row with two parts, eight gateways and such endpoints.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -22,6 +22,11 @@
 	soundEvents = 4
 )
 
+// laterProbes are the times after a loss at which an endpoint that still accepted
+// connections is probed again. A dying process may close its port long after its
+// connections.
+var laterProbes = [...]time.Duration{250 * time.Millisecond, time.Second}
+
 // lostRequest is a request that may have crashed its endpoint.
 type lostRequest struct {
 	features suspect.Request
@@ -65,6 +70,10 @@
 	l.byEndpoint[endpoint] = lost
 }
 
+// has reports whether requests were lost at the endpoint for which it has not answered
+// since.
+func (l *lostRequests) has(endpoint string) bool { return len(l.byEndpoint[endpoint]) > 0 }
+
 // take removes and returns the lost requests of an endpoint that accepts no
 // connections.
 func (l *lostRequests) take(endpoint string) []lostRequest {
@@ -89,11 +98,27 @@
 	g.mu.Unlock()
 	// A caller that leaves meanwhile does not end the check.
 	err := g.pool.Probe(context.WithoutCancel(ctx), e)
-	crashed := errors.Is(err, syscall.ECONNREFUSED)
-	if crashed {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.recordUnreachable(e)
+		return true
+	}
+	for _, d := range laterProbes {
+		g.clock.Schedule(d, func(time.Time) {
+			g.tasks.Go(func(ctx context.Context) { g.probeAgain(ctx, e) })
+		})
+	}
+	return false
+}
+
+// probeAgain looks whether an endpoint that lost requests has crashed after all, unless it
+// has answered a later one.
+func (g *Gateway) probeAgain(ctx context.Context, e fleet.Endpoint) {
+	g.mu.Lock()
+	lost := g.lostRequests.has(e.ID)
+	g.mu.Unlock()
+	if lost && errors.Is(g.pool.Probe(ctx, e), syscall.ECONNREFUSED) {
 		g.recordUnreachable(e)
 	}
-	return crashed
 }
 
 // recordSound records that the answer to the request is sound or has begun so.
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -33,6 +33,8 @@
 	directory *fakeDirectory
 	// partial is what an endpoint sends of an answer before it crashes; %s is the ID.
 	partial string
+	// portDelay is how long a crashed endpoint goes on to accept connections.
+	portDelay time.Duration
 
 	mu sync.Mutex
 	// crashes and arrivals have the times of crashes and of requests by the bad part.
@@ -120,8 +122,9 @@
 		f.crashes[part] = append(f.crashes[part], time.Now())
 	}
 	f.mu.Unlock()
-	_ = server.Close()
 	_ = c.Close()
+	time.Sleep(f.portDelay)
+	_ = server.Close()
 	if !first {
 		return
 	}
@@ -174,10 +177,10 @@
 	return res, true
 }
 
-// endAfterSound calls end once sound requests have been served for five seconds, twelve
-// seconds from now at the earliest.
-func (f *crashingFleet) endAfterSound(ctx context.Context, end func()) {
-	const least, sound = 12 * time.Second, 5 * time.Second
+// endAfterSound calls end once sound requests have been served for five seconds, not before
+// the given time from now.
+func (f *crashingFleet) endAfterSound(ctx context.Context, least time.Duration, end func()) {
+	const sound = 5 * time.Second
 	for began := time.Now(); ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
 		from, come := f.soundFrom()
 		if come && time.Since(from) > sound && time.Since(began) > least {
@@ -213,10 +216,10 @@
 // attempt.
 type soundCount struct{ sent, served int }
 
-// sendPrompts sends sound prompts and, each badInterval, one with a part of bad, from
-// callers of all members, until the context ends. It returns the counts of the sound
+// sendPrompts sends a sound prompt each interval and, each badInterval, one with a part of
+// bad, from callers of all members, until the context ends. It returns the counts of the sound
 // prompts that were sent at soundFrom or later.
-func sendPrompts(ctx context.Context, t *testing.T, members []*fleetMember, f *crashingFleet, path string, badInterval time.Duration, bad func(i int) string) soundCount {
+func sendPrompts(ctx context.Context, t *testing.T, members []*fleetMember, f *crashingFleet, path string, interval, badInterval time.Duration, bad func(i int) string) soundCount {
 	t.Helper()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -250,7 +253,7 @@
 			go request(fmt.Sprint("bad-", bads), bad(bads), false)
 			bads++
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(interval)
 	}
 	wg.Wait()
 	return res
@@ -273,23 +276,31 @@
 		members int
 		// restart says that a gateway is killed and starts again amid the crashes.
 		restart bool
+		// slow says that there are few requests, and that the ports of crashed endpoints
+		// close late.
+		slow bool
 	}{
-		{"in the middle, before the head", "/stream/x", "", []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, false},
-		{"next to last, in chunks", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false},
-		{"first, without length", "/stream/x", openHead, []string{"bad:60,b%d:400,d%d:9"}, 4, false},
-		{"inside an event, without length, resumed", "/resume/x", openHead + "id: 1\nda", []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false},
-		{"only shared part, plain answer", "/read/x", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nan", []string{"bad:%d,d%d:9"}, 4, false},
-		{"two parts, large fleet", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false},
-		{"a gateway starts anew", "/stream/x", chunkedHead, []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, true},
+		{"in the middle, before the head", "/stream/x", "", []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, false, false},
+		{"next to last, in chunks", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false, false},
+		{"first, without length", "/stream/x", openHead, []string{"bad:60,b%d:400,d%d:9"}, 4, false, false},
+		{"inside an event, without length, resumed", "/resume/x", openHead + "id: 1\nda", []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false, false},
+		{"only shared part, plain answer", "/read/x", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nan", []string{"bad:%d,d%d:9"}, 4, false, false},
+		{"two parts, large fleet", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, false},
+		{"a gateway starts anew", "/stream/x", chunkedHead, []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, true, false},
+		{"two parts, large fleet, ports close late", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			members := startFleet(t, c.members)
 			parts := []string{"bad", "worse"}[:len(c.prompts)]
 			f := newCrashingFleet(t, members[0].fakeDirectory, 14, c.partial, parts...)
-			ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 			defer cancel()
-			go f.endAfterSound(ctx, cancel)
+			least, interval, badInterval := 12*time.Second, 20*time.Millisecond, 250*time.Millisecond
+			if c.slow {
+				f.portDelay, least, interval, badInterval = 200*time.Millisecond, 30*time.Second, 60*time.Millisecond, 800*time.Millisecond
+			}
+			go f.endAfterSound(ctx, least, cancel)
 			if c.restart {
 				time.AfterFunc(3*time.Second, func() {
 					members[3].stop()
@@ -297,7 +308,7 @@
 				})
 			}
 			bad := func(i int) string { return fmt.Sprintf(c.prompts[i%len(c.prompts)], i%3, 1000000+i) }
-			sound := sendPrompts(ctx, t, members, f, c.path, 250*time.Millisecond, bad)
+			sound := sendPrompts(ctx, t, members, f, c.path, interval, badInterval, bad)
 			for _, part := range parts {
 				late := f.lateArrivals(part)
 				t.Logf("%s: %d endpoints crashed, %d of %d crashing requests came late, %d of %d sound requests were served",
