Do not take an answer that a crash ended for a complete one

Cause: an answer with neither length nor chunks ends with its connection, and the system closes the connections of a process that dies in order. A plain answer cut off like that, or a stream cut between two events, reached the caller as a complete success.

Change: before such an answer is taken as complete, the gateway looks whether the endpoint still accepts connections, as after a lost answer. If not, the answer counts as broken off.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"damasktrail.dev/coordinator"
@@ -24,6 +26,10 @@
 // first event.
 var errNoEvent = errors.New("connection ended before the first event")
 
+// errEndedByCrash is returned when only the end of its connection ended an answer and the
+// endpoint then accepts no connections.
+var errEndedByCrash = errors.New("endpoint crashed at the end of an answer without length")
+
 // minPaceEvents is the least number of events from which the pace of a stream is
 // measured.
 const minPaceEvents = 4
@@ -70,16 +76,20 @@
 	if err != nil {
 		return err
 	}
+	whole := len(prefix) < maxBufferedBytes
+	if whole && r.endedByCrash(a, grant) {
+		return errEndedByCrash
+	}
 	grant.Started()
 	r.call.timeToFirstByte = r.call.g.clock.Now().Sub(r.call.arrived)
-	if len(prefix) < maxBufferedBytes {
+	if whole {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(prefix)))
 	}
 	r.writeHeader(a)
 	if _, err := r.writer.Write(prefix); err != nil { // #nosec G705 -- an endpoint's answer is passed on unchanged.
 		return errCallerGone
 	}
-	if len(prefix) < maxBufferedBytes {
+	if whole {
 		return nil
 	}
 	buffer := make([]byte, 32<<10)
@@ -89,6 +99,9 @@
 			return errCallerGone
 		}
 		if errors.Is(err, io.EOF) {
+			if r.endedByCrash(a, grant) {
+				return errEndedByCrash
+			}
 			return nil
 		}
 		if err != nil {
@@ -97,6 +110,16 @@
 	}
 }
 
+// endedByCrash reports whether the end of an answer that does not state its length can be
+// that of a crash, which looks the same: the endpoint accepts no connections any more.
+func (r *relay) endedByCrash(a *upstream.Answer, grant *coordinator.Slot) bool {
+	if a.Delimited() {
+		return false
+	}
+	err := r.call.g.pool.Probe(context.WithoutCancel(r.call.request.Context()), grant.Endpoint)
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // forwardStream relays an event stream, complete events only.
 func (r *relay) forwardStream(a *upstream.Answer, grant *coordinator.Slot) error {
 	s := newEventReader(a)
@@ -107,6 +130,9 @@
 			if r.attemptEvents == 0 && !a.Delimited() {
 				return errNoEvent
 			}
+			if r.endedByCrash(a, grant) {
+				return errEndedByCrash
+			}
 			if !r.headerSent {
 				r.writeHeader(a)
 			}
