Split the end of a stream from the relay of its events

Cause: the linter found forwardStream too complex after the last change.

Change: endStream decides how a stream ends. No change of behaviour.

Result: linter clean; the tests of streams in gateway pass.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// endStream ends an event stream whose last event has been relayed.
+func (r *relay) endStream(a *upstream.Answer, grant *coordinator.Slot) error {
+	if r.attemptEvents == 0 && !a.Delimited() {
+		return errNoEvent
+	}
+	if r.endedByCrash(a, grant) {
+		return errEndedByCrash
+	}
+	if !r.headerSent {
+		r.writeHeader(a)
+	}
+	return nil
+}
+
 // endedByCrash reports whether the end of an answer that does not state its length can be
 // that of a crash, which looks the same: the endpoint accepts no connections any more.
 func (r *relay) endedByCrash(a *upstream.Answer, grant *coordinator.Slot) bool {
@@ -127,16 +141,7 @@
 	for {
 		b, err := s.next()
 		if errors.Is(err, io.EOF) {
-			if r.attemptEvents == 0 && !a.Delimited() {
-				return errNoEvent
-			}
-			if r.endedByCrash(a, grant) {
-				return errEndedByCrash
-			}
-			if !r.headerSent {
-				r.writeHeader(a)
-			}
-			return nil
+			return r.endStream(a, grant)
 		}
 		if err != nil {
 			return err
