--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -96,17 +96,20 @@
 	return string(b), err
 }
 
+// echoRequests answers each request with its body.
+func echoRequests(c net.Conn, r *bufio.Reader) {
+	for {
+		id, body, ok := readRequest(r)
+		if !ok {
+			return
+		}
+		fmt.Fprint(c, formatResponse(id, body))
+	}
+}
+
 // Guards against opening a new connection for each request.
 func TestReuse(t *testing.T) {
-	f := serve(t, func(c net.Conn, r *bufio.Reader) {
-		for {
-			id, body, ok := readRequest(r)
-			if !ok {
-				return
-			}
-			fmt.Fprint(c, formatResponse(id, body))
-		}
-	})
+	f := serve(t, echoRequests)
 	p := newPool(t)
 	for i := range 5 {
 		got, err := doCall(p, f, newCall(fmt.Sprint(i), "body"))
@@ -307,15 +310,7 @@
 // Guards against using an idle connection for a new process that has the address
 // of an earlier one.
 func TestRetain(t *testing.T) {
-	f := serve(t, func(c net.Conn, r *bufio.Reader) {
-		for {
-			id, body, ok := readRequest(r)
-			if !ok {
-				return
-			}
-			fmt.Fprint(c, formatResponse(id, body))
-		}
-	})
+	f := serve(t, echoRequests)
 	p := newPool(t)
 	_, err := doCall(p, f, newCall("1", "b"))
 	require.NoError(t, err)
@@ -369,15 +364,7 @@
 // Guards against a probe that opens connections which nobody needs, and against one that
 // takes a crashed endpoint for live.
 func TestProbe(t *testing.T) {
-	f := serve(t, func(c net.Conn, r *bufio.Reader) {
-		for {
-			id, body, ok := readRequest(r)
-			if !ok {
-				return
-			}
-			fmt.Fprint(c, formatResponse(id, body))
-		}
-	})
+	f := serve(t, echoRequests)
 	p, e := newPool(t), fleet.Endpoint{ID: "e", Address: f.address}
 	for range 3 {
 		require.NoError(t, p.Probe(context.Background(), e))
