Test requests with a ticket at a dead endpoint one at a time

Cause: TestTicketsAtDeadEndpoint sent three requests at once to an endpoint that had just been killed and expected all to wait. The one that is dialled first makes the agent notice; those that arrive after it are refused as not run, as at any endpoint that is known to be down.

Change: the test sends each request as the first one after a kill, three times. What it meant for requests that waited behind, TestTicketsWaitFor- UnreachableEndpoint now shows on the control state, where the order is given: up to six requests with a ticket that were admitted before wait, none is sent, and all run after the next successful health check.

The new test fails when requeue refuses in place of waiting.

--- a/agent/control_test.go
+++ b/agent/control_test.go
@@ -49,7 +49,13 @@
 	return m
 }
 
+// arrive admits a request with a random prompt.
 func (m *machine) arrive(tier int, fingerprint uint64, ticketText string) {
+	m.admit(rapid.IntRange(1, 300).Draw(m.t, "prefill"), tier, fingerprint, ticketText)
+}
+
+// admit admits a request whose prompt has the given number of tokens.
+func (m *machine) admit(prefill, tier int, fingerprint uint64, ticketText string) {
 	x := &trackedRequest{arrived: m.now}
 	x.w = &work{
 		id:     fmt.Sprintf("r%d", len(m.requests)),
@@ -57,7 +63,7 @@
 		stream: true,
 		request: damasktrail.Request{
 			Organisation: "o", Model: "m", Tier: tier, Fingerprint: fingerprint,
-			Cost:     damasktrail.Cost{Prefill: rapid.IntRange(1, 300).Draw(m.t, "prefill"), Decode: 10},
+			Cost:     damasktrail.Cost{Prefill: prefill, Decode: 10},
 			Deadline: 20 * time.Second,
 		},
 		start:  func() { x.dispatches++ },
@@ -232,6 +238,36 @@
 	require.True(t, m.c.drained(m.now.Add(ticketGrace)))
 }
 
+// Guards against refusing requests with a ticket that were admitted before the agent
+// noticed that their endpoint cannot be reached, and against sending them there.
+func TestTicketsWaitForUnreachableEndpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		for i := range rapid.IntRange(1, 6).Draw(t, "tickets") {
+			text, err := m.issuer.Issue("o", "m", time.Minute, m.now)
+			require.NoError(t, err)
+			m.admit(10, 0, uint64(10+i), text)
+		}
+		for x := m.running(); x != nil; x = m.running() {
+			m.c.undispatched(x.w, m.now)
+			x.dispatches--
+			m.c.requeue(x.w, time.Second, m.now)
+		}
+		for _, x := range m.requests {
+			require.Nil(t, x.refusal)
+			require.Zero(t, x.dispatches)
+		}
+		m.c.recordHealthCheck(true, m.now)
+		for x := m.running(); x != nil; x = m.running() {
+			m.finish(x, true)
+		}
+		for _, x := range m.requests {
+			require.Nil(t, x.refusal)
+			require.Equal(t, 1, x.dispatches)
+		}
+	})
+}
+
 // Guards against a request that crashes the endpoint of one agent more than
 // twice, and against requests that ran at the same time being refused as its
 // cause.
--- a/faults/request_test.go
+++ b/faults/request_test.go
@@ -160,20 +160,14 @@
 // only at their endpoint, because it died before its agent noticed.
 func TestTicketsAtDeadEndpoint(t *testing.T) {
 	t.Parallel()
-	c := startCluster(t, clusterConfig{entries: 1, agents: 1, agentFlags: []string{"--inflight", "1"}, endpointFlags: []string{"--step", "5ms"}})
-	var sent [3]request
-	for i := range sent {
-		sent[i] = newRequest(fmt.Sprintf("%s %d", t.Name(), i), 10, 10, i == 0).withTicket(c.newTicket(c.entries[0]))
-	}
-	c.endpoints[0].killEndpoint()
-	var got [3]*answer
-	for i, r := range sent {
-		got[i] = c.send(c.entries[0], r)
-	}
-	time.Sleep(time.Second)
-	c.endpoints[0].start()
-	for i, r := range sent {
-		observed := fmt.Sprintf("%s, ran %d", got[i].wait(), c.runCounts(r)[0])
+	c := startCluster(t, clusterConfig{entries: 1, agents: 1, endpointFlags: []string{"--step", "5ms"}})
+	for i := range 3 {
+		r := newRequest(fmt.Sprintf("%s %d", t.Name(), i), 10, 10, i == 0).withTicket(c.newTicket(c.entries[0]))
+		c.endpoints[0].killEndpoint()
+		got := c.send(c.entries[0], r)
+		time.Sleep(time.Second)
+		c.endpoints[0].start()
+		observed := fmt.Sprintf("%s, ran %d", got.wait(), c.runCounts(r)[0])
 		report(t, "2 ticket", "5", fmt.Sprintf("endpoint dies unnoticed, request %d", i), "whole, ran 1", observed)
 	}
 }
