Let requests with a ticket wait for a new link when theirs broke before they were sent

Cause: an agent that was replaced resets the link at the next packet. The request whose packet that was gets `unknown/lost`; one that follows at once finds the session still in place, its connection closed, and was given up. Traced by the log: the third request failed within milliseconds of the second.

Change: a session whose connection is closed counts as ended, as one that was silent for too long does, for the choice of agents too. One that could not be sent for lack of a free stream is refused as before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -158,7 +158,7 @@
 // attempt sends the request to one agent and relays the answer. A nil result
 // means that the whole answer was written.
 func (e *Entry) attempt(ctx context.Context, s *snapshot, c *call, r *remoteAgent, out *output) *damasktrail.Refusal {
-	c.notRunConfirmed = false
+	c.sent, c.notRunConfirmed = false, false
 	sess := r.liveSession(e.clock.Now())
 	if sess == nil {
 		return notSent("the link to the agent is gone")
@@ -175,6 +175,7 @@
 	r.sentDecode.Add(int64(c.request.Cost.Decode))
 	stop := context.AfterFunc(ctx, stream.Cancel)
 	defer stop()
+	c.sent = true
 	if err := stream.Send(frame.KindOpen, e.openFrame(s, c)); err != nil {
 		stream.Cancel()
 		return lost("the link broke while the request was sent")
--- a/entry/call.go
+++ b/entry/call.go
@@ -49,6 +49,9 @@
 	// idempotent is true if the request may run more than once.
 	idempotent bool
 	ticket     string
+	// sent is true if the agent of the latest attempt may have got any byte of the
+	// request.
+	sent bool
 	// notRunConfirmed is true if the agent of the latest attempt confirmed that it
 	// did not run the request.
 	notRunConfirmed bool
--- a/entry/remote.go
+++ b/entry/remote.go
@@ -130,12 +130,17 @@
 	r.latestLoad.Store(&loadReport{load: l, at: now})
 }
 
-// liveSession returns the session, or nil if there is none or it is dead. After
-// a pause of this process a dead connection can look open for a moment; the
-// time of its last frame shows that it is dead.
+// ended reports whether the connection is closed or dead. After a pause of this
+// process a dead connection can look open for a moment; the time of its last frame
+// shows that it is dead.
+func (s *session) ended(now time.Time) bool {
+	return now.Sub(time.Unix(0, s.lastReceived.Load())) > link.IdleTimeout || s.conn.Context().Err() != nil
+}
+
+// liveSession returns the session, or nil if there is none or it has ended.
 func (r *remoteAgent) liveSession(now time.Time) *session {
 	s := r.session.Load()
-	if s == nil || now.Sub(time.Unix(0, s.lastReceived.Load())) > link.IdleTimeout {
+	if s == nil || s.ended(now) {
 		return nil
 	}
 	return s
--- a/entry/ticket.go
+++ b/entry/ticket.go
@@ -20,14 +20,14 @@
 	}
 	for tries := 0; ; tries++ {
 		s := e.snapshot.Load()
-		r := e.ticketAgent(ctx, name)
-		if r == nil {
+		r, sess := e.ticketAgent(ctx, name)
+		if sess == nil {
 			return &damasktrail.Refusal{
 				Reason: damasktrail.ReasonLost, Outcome: damasktrail.Unknown,
 				RetryAfter: defaultRetryAfter, Detail: "the agent of the ticket cannot be reached",
 			}
 		}
-		if sess := r.session.Load(); sess != nil && sess.incarnation != incarnation {
+		if sess.incarnation != incarnation {
 			return &damasktrail.Refusal{
 				Reason: damasktrail.ReasonIncarnation, Outcome: damasktrail.Unknown,
 				Detail: "the agent of the ticket was replaced",
@@ -38,22 +38,25 @@
 		if refusal == nil {
 			return nil
 		}
-		if out.started() || ctx.Err() != nil || refusal.Reason != damasktrail.ReasonStale {
+		linkLost := !c.sent && sess.ended(e.clock.Now())
+		if out.started() || ctx.Err() != nil || refusal.Reason != damasktrail.ReasonStale && !linkLost {
 			return e.finalRefusal(ctx, refusal, false)
 		}
 		if tries >= maxStaleRetries {
 			return refusal
 		}
-		e.catchUp(ctx, r)
+		if !linkLost {
+			e.catchUp(ctx, r)
+		}
 		e.metrics.Retried(refusal.Reason)
 	}
 }
 
-// ticketAgent returns the named agent, or nil if it cannot be reached in time.
-// It connects to the agent if that is outside the subset.
-func (e *Entry) ticketAgent(ctx context.Context, name string) *remoteAgent {
-	if r := e.snapshot.Load().agents[name]; r != nil && r.session.Load() != nil {
-		return r
+// ticketAgent returns the named agent and its live session, or nil if it cannot be
+// reached in time. It connects to the agent if that is outside the subset.
+func (e *Entry) ticketAgent(ctx context.Context, name string) (*remoteAgent, *session) {
+	if r, sess := e.linkedAgent(name); sess != nil {
+		return r, sess
 	}
 	until := e.clock.Now().Add(ticketAgentTTL)
 	e.post(func(c *control) {
@@ -67,11 +70,20 @@
 	ctx, cancel := context.WithTimeout(ctx, ticketLinkTimeout)
 	defer cancel()
 	for {
-		if r := e.snapshot.Load().agents[name]; r != nil && r.session.Load() != nil {
-			return r
+		if r, sess := e.linkedAgent(name); sess != nil {
+			return r, sess
 		}
 		if e.clock.Sleep(ctx, redialBackoffMin) != nil {
-			return nil
+			return nil, nil
 		}
 	}
 }
+
+// linkedAgent returns the named agent and its live session, or nil if it has none.
+func (e *Entry) linkedAgent(name string) (*remoteAgent, *session) {
+	r := e.snapshot.Load().agents[name]
+	if r == nil {
+		return nil, nil
+	}
+	return r, r.liveSession(e.clock.Now())
+}
