Play crashing parts in a fleet of 24 gateways

Cause: the bound is for the whole fleet, and the largest one played had eight gateways.

Change: a row with 24, in which coordinators grant slots.

--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -286,6 +286,7 @@
 		{"inside an event, without length, resumed", "/resume/x", openHead + "id: 1\nda", []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false, false},
 		{"only shared part, plain answer", "/read/x", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nan", []string{"bad:%d,d%d:9"}, 4, false, false},
 		{"two parts, large fleet", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, false},
+		{"two parts, 24 gateways", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 24, false, false},
 		{"a gateway starts anew", "/stream/x", chunkedHead, []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, true, false},
 		{"two parts, large fleet, ports close late", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, true},
 	} {
