End answers of endpoints that send something now and then and get no further

Operators of similar systems reported stalled streams that sent a byte now and then and never ended. It can happen on the path with agents: the silence of a connection was measured from the last byte, so comments, one byte of an event at a time, or the same event again and again kept a stream, its slot and its caller for ever, and a body that came a byte at a time outlived the deadline at which docs/callers.md says that it is given up. The gateway is not concerned: its requests end at the deadline of their callers.

Change: waits measures what an answer has waited for its endpoint, without the time that its reader takes. A wait lasts until an event or comment is complete; after 20 s the stream is resumed as before. All waits since the last event with data, or for an answer in one piece all of them, are bounded by NonStreamSilenceTimeout, for the latter also by the deadline; then the answer is lost. Streams of plain services are opaque and are bounded by silence only.

--- a/engine/answer.go
+++ b/engine/answer.go
@@ -28,15 +28,14 @@
 )
 
 // answer implements [damasktrail.Answer]. It is used by one goroutine; only its
-// watchdog runs concurrently.
+// watchdogs run concurrently.
 type answer struct {
 	ctx    context.Context
 	client *Client
 	call   damasktrail.Call
 	head   damasktrail.Head
-	// silenceTimeout is how long a connection may send nothing. It depends on
-	// whether the answer is streamed.
-	silenceTimeout time.Duration
+	// waits is the time that the answer has waited for the endpoint.
+	waits waits
 	// eventStream reports whether the answer is an event stream, which must end
 	// with the event [DONE].
 	eventStream bool
@@ -47,9 +46,6 @@
 	cancelConn context.CancelCauseFunc
 	// stopWatchdog stops the watchdog of the current connection.
 	stopWatchdog atomic.Pointer[func()]
-	// waitingSince is the Unix time in nanoseconds at which the pending read or
-	// request of the connection started; zero when none is pending.
-	waitingSince atomic.Int64
 
 	// buf[start:end] was read and not yet delivered. Its first scanned bytes hold
 	// no end of an event.
@@ -76,40 +72,28 @@
 }
 
 func newAnswer(ctx context.Context, c *Client, call damasktrail.Call) *answer {
-	a := &answer{ctx: ctx, client: c, call: call, eventStream: call.Stream && !c.settings.Service}
-	switch {
-	case call.Stream:
-		a.silenceTimeout = c.settings.SilenceTimeout
-	case call.IdleTimeout > 0:
-		a.silenceTimeout = min(call.IdleTimeout, c.settings.NonStreamSilenceTimeout)
-	default:
-		a.silenceTimeout = c.settings.NonStreamSilenceTimeout
-	}
-	return a
+	return &answer{ctx: ctx, client: c, call: call, eventStream: call.Stream && !c.settings.Service, waits: newWaits(c.settings, call)}
 }
 
 // newConnContext returns the context of a new connection and starts the watchdog
 // of the connection.
 func (a *answer) newConnContext() context.Context {
 	a.connCtx, a.cancelConn = context.WithCancelCause(a.ctx)
-	a.startWatchdog(a.connCtx, a.cancelConn, a.silenceTimeout)
+	a.startWatchdog(a.connCtx, a.cancelConn, a.waits.silenceTimeout)
 	return a.connCtx
 }
 
-// startWatchdog schedules a check, after d, that cancels the connection if a read
-// has been pending for silenceTimeout. One timer per connection that is
-// rescheduled when it fires is cheaper than one timer per read.
+// startWatchdog schedules a check, after d, that cancels the connection if the answer has
+// waited too long. One timer per connection that is rescheduled when it fires is
+// cheaper than one timer per read.
 func (a *answer) startWatchdog(conn context.Context, cancel context.CancelCauseFunc, d time.Duration) {
 	stop := a.client.clock.Schedule(d, func(now time.Time) {
 		if conn.Err() != nil {
 			return
 		}
-		left := a.silenceTimeout
-		if since := a.waitingSince.Load(); since != 0 {
-			left -= time.Duration(now.UnixNano() - since)
-		}
-		if left <= 0 {
-			cancel(&SilenceError{a.silenceTimeout})
+		left, err := a.waits.check(now)
+		if err != nil {
+			cancel(err)
 			return
 		}
 		a.startWatchdog(conn, cancel, left)
@@ -118,8 +102,8 @@
 }
 
 // startWait and endWait delimit the time during which a read or request is pending.
-func (a *answer) startWait() { a.waitingSince.Store(a.client.clock.Now().UnixNano()) }
-func (a *answer) endWait()   { a.waitingSince.Store(0) }
+func (a *answer) startWait() { a.waits.start(a.client.clock.Now()) }
+func (a *answer) endWait()   { a.waits.end(a.client.clock.Now()) }
 
 // cause returns the cause of the failure err of the current connection.
 func (a *answer) cause(err error) error { return causeOf(a.connCtx, err) }
@@ -163,6 +147,7 @@
 			return a.nextBytes()
 		}
 		if event := a.takeEvent(); event != nil {
+			a.endWait()
 			if a.acceptEvent(event) {
 				return event, nil
 			}
@@ -221,9 +206,8 @@
 		}
 		a.buf = append(a.buf, make([]byte, len(a.buf))...)
 	}
-	a.startWait()
+	a.startWait() // It goes on until an event is complete.
 	n, err := a.body.Read(a.buf[a.end:])
-	a.endWait()
 	a.end += n
 	if n > 0 {
 		return nil
@@ -275,6 +259,7 @@
 	}
 	a.deliveredEvents++
 	a.resumes = 0
+	a.waits.progress()
 	if bytes.Equal(data, doneData) {
 		a.finish()
 	} else if bytes.Contains(data, usageKey) {
@@ -340,7 +325,8 @@
 		return context.Cause(a.ctx)
 	}
 	var limit *LimitError
-	if !a.eventStream || errors.As(err, &limit) {
+	var stall *StallError
+	if !a.eventStream || errors.As(err, &limit) || errors.As(err, &stall) {
 		return a.terminalError(err)
 	}
 	if a.deliveredEvents > 0 && a.lastID == 0 {
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -86,7 +86,8 @@
 	return fmt.Sprintf("%s %s: endpoint answered status %d", e.Method, e.Path, e.Status)
 }
 
-// SilenceError reports a connection that sent nothing for too long.
+// SilenceError reports a connection that sent nothing, or no complete event of a stream,
+// for too long.
 type SilenceError struct {
 	// Limit is the timeout that was exceeded.
 	Limit time.Duration
@@ -94,7 +95,19 @@
 
 // Error implements error.
 func (e *SilenceError) Error() string {
-	return fmt.Sprintf("connection sent nothing for %v", e.Limit)
+	return fmt.Sprintf("connection sent nothing complete for %v", e.Limit)
+}
+
+// StallError reports an answer that came no further for too long, although its connection
+// was not silent.
+type StallError struct {
+	// Limit is the timeout that was exceeded.
+	Limit time.Duration
+}
+
+// Error implements error.
+func (e *StallError) Error() string {
+	return fmt.Sprintf("answer made no progress for %v", e.Limit)
 }
 
 // LimitError reports an answer that exceeds a size limit.
--- a/engine/settings.go
+++ b/engine/settings.go
@@ -12,16 +12,17 @@
 	// to resume or cancel and takes no orders. Its calls are cancelled by closing
 	// their connection.
 	Service bool
-	// SilenceTimeout is how long the connection of a streamed answer may send
-	// nothing before the stream is resumed on a new connection. The default is
-	// 20 s.
+	// SilenceTimeout is how long the connection of a streamed answer may send no
+	// complete event or comment before the stream is resumed on a new connection. The
+	// default is 20 s.
 	SilenceTimeout time.Duration
 	// MaxResumes is the maximum number of consecutive attempts to resume a stream
 	// without a new event. The default is 3.
 	MaxResumes int
-	// NonStreamSilenceTimeout is how long the connection of a non-streamed answer
-	// may send nothing. The default is 10 minutes, because an endpoint sends such
-	// an answer only once it is generated.
+	// NonStreamSilenceTimeout is how long a non-streamed answer may take to arrive, and
+	// a streamed one to get from one event with data to the next while its connection
+	// sends comments. The default is 10 minutes, because an endpoint sends a
+	// non-streamed answer only once it is generated.
 	NonStreamSilenceTimeout time.Duration
 	// ControlTimeout limits the duration of a load, order, health or cancel
 	// request, and the wait for the header of a resumed stream. The default is
