Answer requests that were accepted just before the end of a shutdown

Operators of similar systems reported requests that had just been accepted and were cut off without an answer by a planned stop. It can happen here, in a short moment: Drain returns once no request is open, and Close then closed all connections. A request that was read after the last look, or whose handler had returned but whose last bytes were not flushed yet, was cut off.

Change: Close lets the server finish open requests for up to 200 ms, half of what is kept of the grace for the exit, and closes what is left.

How often the moment was hit in stops under load was not measured.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,9 @@
 	// exitMargin is the part of the grace period that is reserved for the exit of
 	// the process.
 	exitMargin = 400 * time.Millisecond
+	// closeTimeout is the part of exitMargin in which requests that arrived just before
+	// the end of the shutdown are answered.
+	closeTimeout = 200 * time.Millisecond
 )
 
 // Gateway serves callers. It is safe for use by several goroutines.
@@ -297,9 +300,17 @@
 	return deadline.After(start.Add(g.settings.Grace - exitMargin))
 }
 
-// Close closes all connections. It is called after Drain.
+// Close closes all connections, those with a request once it is answered or closeTimeout has
+// passed. It is called after Drain.
 func (g *Gateway) Close() error {
-	err := errors.Join(g.callerServer.Close(), g.readinessServer.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := g.callerServer.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		g.log.Info("connections closed", "open", g.openRequests.Load())
+		err = g.callerServer.Close()
+	}
+	err = errors.Join(err, g.readinessServer.Close())
 	g.pool.Close()
 	return err
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -307,6 +307,33 @@
 	require.Less(t, <-drained, s.settings.Grace)
 }
 
+// Guards against cutting off requests that were accepted just before the end of a shutdown.
+func TestCloseAnswersAcceptedRequests(t *testing.T) {
+	const requests = 8
+	accepted, closing := make(chan struct{}, requests), make(chan struct{})
+	p := newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		accepted <- struct{}{}
+		<-closing
+		time.Sleep(50 * time.Millisecond)
+		fmt.Fprint(w, "late")
+	})
+	s := start(t, p)
+	answers := make(chan response, requests)
+	for i := range requests {
+		go func() { answers <- s.send("/send/x", fmt.Sprint(i), "body") }()
+	}
+	for range requests {
+		<-accepted
+	}
+	close(closing)
+	require.NoError(t, s.gateway.Close())
+	for range requests {
+		got := <-answers
+		require.NoError(t, got.err)
+		require.Equal(t, "late", got.body)
+	}
+}
+
 // Guards against giving up a request although no endpoint has received it.
 func TestUnreachable(t *testing.T) {
 	down, up := newFakeEndpoint(t, respondWith("gone")), newFakeEndpoint(t, respondWith("sound"))
