--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -101,7 +101,7 @@
 	handler http.HandlerFunc
 }
 
-func newFakeEndpoint(t *testing.T, handler http.HandlerFunc) *fakeEndpoint {
+func newFakeEndpoint(t testing.TB, handler http.HandlerFunc) *fakeEndpoint {
 	t.Helper()
 	p := &fakeEndpoint{runs: map[string]int{}, handler: handler}
 	p.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -191,7 +191,7 @@
 	*fakeDirectory
 	gateway  *gateway.Gateway
 	settings gateway.Settings
-	t        *testing.T
+	t        testing.TB
 }
 
 // givenAddresses has the addresses that freeAddress has returned.
@@ -199,7 +199,7 @@
 
 // freeAddress returns an address that is free for TCP and UDP and that no other test of
 // this process gets.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	for {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -249,7 +249,7 @@
 	s.update(func() { s.table = table })
 }
 
-func start(t *testing.T, endpoints ...*fakeEndpoint) *testGateway {
+func start(t testing.TB, endpoints ...*fakeEndpoint) *testGateway {
 	t.Helper()
 	s := &testGateway{fakeDirectory: &fakeDirectory{}, t: t}
 	s.setTable(1, organisations())
