Measure the time between requests for the first document, not after the dials

The agent asks when the first entry has dialled and asks another 500 ms later, as it should.

Change: the test notes when each request arrives. Two of them must be 400 ms apart at least, whatever the dials took; the bound that it replaces was 300 ms after the last dial. That the silent entry is not asked again, that no entry is asked once the document is there, and the one request for the rest are checked as before.

--- a/agent/link_test.go
+++ b/agent/link_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -88,13 +89,19 @@
 	return res
 }
 
+// arrival is a frame with the time at which it arrived.
+type arrival struct {
+	frame.Raw
+	at time.Time
+}
+
 // testEntry acts as an entry. It records the frames of its control stream.
 type testEntry struct {
 	conn    *link.Conn
 	control *link.Stream
 
 	mu       sync.Mutex
-	received []frame.Raw
+	received []arrival
 }
 
 func (f *fixture) dial(name string, generation uint64) *testEntry {
@@ -114,7 +121,7 @@
 				return
 			}
 			res.mu.Lock()
-			res.received = append(res.received, raw)
+			res.received = append(res.received, arrival{raw, time.Now()})
 			res.mu.Unlock()
 		}
 	}()
@@ -122,7 +129,7 @@
 }
 
 // frames returns the frames of a kind that arrived on the control stream.
-func (e *testEntry) frames(kind frame.Kind) (res []frame.Raw) {
+func (e *testEntry) frames(kind frame.Kind) (res []arrival) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, raw := range e.received {
@@ -179,35 +186,47 @@
 		}
 		entries = append(entries, f.dial(fmt.Sprintf("entry-%d", i), generation))
 	}
-	start := time.Now()
-	pulls := func() (from []int) {
-		for i, e := range entries {
-			for range e.frames(frame.KindPull) {
-				from = append(from, i)
-			}
-		}
-		return from
-	}
-	time.Sleep(300 * time.Millisecond)
-	first := pulls()
-	require.Len(t, first, 1)
-	require.Eventually(t, func() bool { return len(pulls()) == 2 }, 2*time.Second, time.Millisecond)
-	t.Logf("second pull after %s", time.Since(start))
-	second := pulls()
-	require.NotEqual(t, second[0], second[1], "the silent entry is not asked again at once")
+	firsts, rests := func() []pull { return pulls(t, entries, 0) }, func() []pull { return pulls(t, entries, d.Generation) }
+	require.Eventually(t, func() bool { return len(firsts()) >= 2 }, 2*time.Second, time.Millisecond)
+	first := firsts()[0]
 	// The agent requests the rest from the entry with the higher generation.
-	require.NoError(t, entries[first[0]].control.Send(frame.KindWhole, frame.Whole{Topic: frame.TopicDocument, Data: sample}))
-	rest := func() bool {
-		for _, raw := range entries[5].frames(frame.KindPull) {
-			p, err := frame.Decode[frame.Pull](raw, frame.KindPull)
-			if err == nil && p.From == d.Generation {
-				return true
+	require.NoError(t, first.entry.control.Send(frame.KindWhole, frame.Whole{Topic: frame.TopicDocument, Data: sample}))
+	require.Eventually(t, func() bool { return len(rests()) == 1 }, 2*time.Second, time.Millisecond)
+	require.Same(t, entries[5], rests()[0].entry)
+	asked := firsts()
+	time.Sleep(2 * 500 * time.Millisecond)
+	require.Len(t, firsts(), len(asked), "no entry is asked for the first document once it is there")
+	require.Len(t, rests(), 1)
+	// The time that the dials took does not count: the agent begins with the first.
+	for i, p := range asked[1:] {
+		gap := p.at.Sub(asked[i].at)
+		t.Logf("pull %d after %s", i+1, gap)
+		require.NotSame(t, asked[i].entry, p.entry, "the silent entry is not asked again at once")
+		require.GreaterOrEqual(t, gap, minPullGap)
+	}
+}
+
+// minPullGap is the least time between two requests for the first document, less the time
+// that the first one may take to arrive.
+const minPullGap = 400 * time.Millisecond
+
+// pull is a request for document data.
+type pull struct {
+	entry *testEntry
+	at    time.Time
+}
+
+// pulls returns the requests for data after a generation that reached the entries, by time.
+func pulls(t *testing.T, entries []*testEntry, from uint64) (res []pull) {
+	for _, e := range entries {
+		for _, x := range e.frames(frame.KindPull) {
+			p, err := frame.Decode[frame.Pull](x.Raw, frame.KindPull)
+			require.NoError(t, err)
+			if p.From == from {
+				res = append(res, pull{entry: e, at: x.at})
 			}
 		}
-		return false
 	}
-	require.Eventually(t, rest, 2*time.Second, time.Millisecond)
-	time.Sleep(2 * 500 * time.Millisecond)
-	t.Logf("pulls of 12 entries: %v", pulls())
-	require.Len(t, pulls(), 3)
+	slices.SortFunc(res, func(a, b pull) int { return a.at.Compare(b.at) })
+	return res
 }
