Report the load of an agent without the request that it has just answered

Traced at each choice of another agent than the one with the cache: the report that came 2 ms before, with the answer of the turn before, said that one request with all of its prompt was running there, while reports of the others were old enough to count as worked off. The agent posted the end of the request to its control goroutine and read the published load at once, so the load mostly still had the request; on a busy machine always.

Change: the end of a request is published before its last frame is sent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -151,6 +151,17 @@
 	}
 }
 
+// apply runs f on the control goroutine and returns once its effects are published.
+func (a *Agent) apply(f func(c *control, now time.Time)) {
+	published := make(chan struct{})
+	a.post(f)
+	a.post(func(*control, time.Time) { close(published) })
+	select {
+	case <-published:
+	case <-a.tasks.Context().Done():
+	}
+}
+
 // runControl runs events on the control goroutine until ctx ends.
 func (a *Agent) runControl(ctx context.Context) {
 	for {
--- a/agent/attempt.go
+++ b/agent/attempt.go
@@ -214,13 +214,13 @@
 }
 
 // run sends a request to the endpoint, once and without retries, and passes the
-// answer to out. sent is false if no byte of the request reached the endpoint, which
+// answer to out. When it returns, the agent's load is without the request. sent is false if no byte of the request reached the endpoint, which
 // cannot be reached then.
 func (a *Agent) run(ctx context.Context, w *work, open frame.Open, out sink) (usage damasktrail.Usage, refusal *damasktrail.Refusal, sent bool) {
 	complete := false
 	sent = true
 	defer func() {
-		a.post(func(c *control, now time.Time) {
+		a.apply(func(c *control, now time.Time) {
 			if !sent {
 				c.undispatched(w, now)
 				return
@@ -306,17 +306,11 @@
 // reportCrash records the request as a suspect and notifies all entries before
 // its refusal can reach the caller.
 func (a *Agent) reportCrash(w *work) {
-	done := make(chan struct{})
-	a.post(func(c *control, now time.Time) {
-		defer close(done)
+	a.apply(func(c *control, now time.Time) {
 		if suspects := c.recordCrash(w, now); suspects != nil {
 			a.sendHeartbeats(c, now)
 		}
 	})
-	select {
-	case <-done:
-	case <-a.tasks.Context().Done():
-	}
 }
 
 // streamSink sends an answer on a stream.
--- a/agent/link_test.go
+++ b/agent/link_test.go
@@ -230,3 +230,35 @@
 	slices.SortFunc(res, func(a, b pull) int { return a.at.Compare(b.at) })
 	return res
 }
+
+// Guards against an entry that takes an agent for busy with the request that it has just
+// answered, and so sends the next turn of a conversation to another one.
+func TestAnswerReportsLoadWithoutItsRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	sample, err := os.ReadFile("../samples/jury.json")
+	require.NoError(t, err)
+	d, err := document.Parse(sample)
+	require.NoError(t, err)
+	e := f.dial("entry", d.Generation)
+	require.NoError(t, e.control.Send(frame.KindWhole, frame.Whole{Topic: frame.TopicDocument, Data: sample}))
+	require.Eventually(t, f.agent.Ready, 2*time.Second, time.Millisecond)
+	for i := range 200 {
+		stream, err := e.conn.Open(t.Context())
+		require.NoError(t, err)
+		require.NoError(t, stream.Send(frame.KindOpen, frame.Open{
+			ID: fmt.Sprint(i), Organisation: "ghent", Model: "jury", Method: "POST", Path: "/v1/completions", Type: "application/json",
+			Body: []byte(`{"model":"jury","prompt":"a","max_tokens":1}`), DeadlineMillis: 10_000, Generation: d.Generation, Floor: -1,
+			Cost: damasktrail.Cost{Prefill: 500, Decode: 1},
+		}))
+		end := frame.Raw{}
+		for end.Kind != frame.KindEnd {
+			end, err = stream.Receive()
+			require.NoError(t, err)
+			require.NotEqual(t, frame.KindRefuse, end.Kind)
+		}
+		m, err := frame.Decode[frame.End](end, frame.KindEnd)
+		require.NoError(t, err)
+		require.Zero(t, m.Load.Running, "request %d", i)
+		require.Zero(t, m.Load.Prefill, "request %d", i)
+	}
+}
