Issue the credentials of tests in one place

Change: package certificatetest issues credentials on loopback; link keeps its own, which takes other authorities and lifetimes, as do the fault tests, which need files.

--- a/agent/link_test.go
+++ b/agent/link_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http/httptest"
 	"os"
 	"slices"
@@ -16,6 +15,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/agent"
 	"damasktrail.dev/certificate"
+	"damasktrail.dev/certificate/certificatetest"
 	"damasktrail.dev/document"
 	"damasktrail.dev/engine"
 	"damasktrail.dev/frame"
@@ -45,10 +45,10 @@
 
 // fixture is a running agent to which tests connect as entries.
 type fixture struct {
-	t         *testing.T
-	tasks     *group.Group
-	agent     *agent.Agent
-	authority *certificate.Authority
+	*certificatetest.Issuer
+	t     *testing.T
+	tasks *group.Group
+	agent *agent.Agent
 }
 
 func newFixture(t *testing.T, speed time.Duration) *fixture {
@@ -56,9 +56,7 @@
 	tasks := group.New(t.Context())
 	t.Cleanup(tasks.Close)
 	clock := &fastClock{Clock: timer.New(tasks), start: time.Now(), speed: speed}
-	authority, err := certificate.NewAuthority("test", time.Hour)
-	require.NoError(t, err)
-	f := &fixture{t: t, tasks: tasks, authority: authority}
+	f := &fixture{t: t, tasks: tasks, Issuer: certificatetest.New(t)}
 	e := standin.NewEndpoint(standin.EndpointOptions{Clock: clock.Clock})
 	t.Cleanup(e.Close)
 	server := httptest.NewServer(e.Handler())
@@ -67,7 +65,7 @@
 	require.NoError(t, err)
 	f.agent, err = agent.New(agent.Settings{
 		Name: "agent", Domain: "be-a", Set: "jurying", Listen: "127.0.0.1:0", Inflight: 64, Waiting: 64, Tokens: 1000, Ticket: time.Minute,
-	}, f.credentials(certificate.RoleAgent, "agent").ServerConfig(set.Of(certificate.RoleEntry)),
+	}, f.Credentials(certificate.RoleAgent, "agent").ServerConfig(set.Of(certificate.RoleEntry)),
 		engine.New(server.URL, nil, clock, engine.Settings{}), clock, tasks, m, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = f.agent.Close() })
@@ -79,16 +77,6 @@
 	return f
 }
 
-func (f *fixture) credentials(role certificate.Role, name string) *certificate.Credentials {
-	pair, err := f.authority.Issue(role, name, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour)
-	require.NoError(f.t, err)
-	own, err := pair.TLS()
-	require.NoError(f.t, err)
-	res, err := certificate.New(f.authority.Pool(), own)
-	require.NoError(f.t, err)
-	return res
-}
-
 // arrival is a frame with the time at which it arrived.
 type arrival struct {
 	frame.Raw
@@ -105,7 +93,7 @@
 }
 
 func (f *fixture) dial(name string, generation uint64) *testEntry {
-	d := link.NewDialer("127.0.0.1", f.credentials(certificate.RoleEntry, name).ClientConfig(certificate.RoleAgent))
+	d := link.NewDialer("127.0.0.1", f.Credentials(certificate.RoleEntry, name).ClientConfig(certificate.RoleAgent))
 	f.t.Cleanup(d.Close)
 	conn, err := d.Dial(f.t.Context(), f.agent.Address(), false)
 	require.NoError(f.t, err)
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +15,7 @@
 
 	"damasktrail.dev/agent"
 	"damasktrail.dev/certificate"
+	"damasktrail.dev/certificate/certificatetest"
 	"damasktrail.dev/engine"
 	"damasktrail.dev/entry"
 	"damasktrail.dev/group"
@@ -46,17 +46,7 @@
 	t.Cleanup(tasks.Close)
 	clock := timer.New(tasks)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	authority, err := certificate.NewAuthority("test", time.Hour)
-	require.NoError(t, err)
-	issueCredentials := func(role certificate.Role, name string) *certificate.Credentials {
-		pair, err := authority.Issue(role, name, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour)
-		require.NoError(t, err)
-		own, err := pair.TLS()
-		require.NoError(t, err)
-		res, err := certificate.New(authority.Pool(), own)
-		require.NoError(t, err)
-		return res
-	}
+	issueCredentials := certificatetest.New(t).Credentials
 	f := &fleet{platform: standin.NewPlatform(standin.PlatformOptions{Clock: clock, Rate: 2000})}
 	platformServer := httptest.NewServer(f.platform.Handler())
 	t.Cleanup(platformServer.Close)
--- a/entry/ticket_test.go
+++ b/entry/ticket_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 
 	"damasktrail.dev"
 	"damasktrail.dev/certificate"
+	"damasktrail.dev/certificate/certificatetest"
 	"damasktrail.dev/link"
 	"damasktrail.dev/member"
 	"damasktrail.dev/set"
@@ -20,18 +20,8 @@
 // dialTestAgents returns n connections to a listener that only accepts them.
 func dialTestAgents(t *testing.T, n int) []*link.Conn {
 	t.Helper()
-	authority, err := certificate.NewAuthority("test", time.Hour)
-	require.NoError(t, err)
-	credentials := func(role certificate.Role, name string) *certificate.Credentials {
-		pair, err := authority.Issue(role, name, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour)
-		require.NoError(t, err)
-		own, err := pair.TLS()
-		require.NoError(t, err)
-		res, err := certificate.New(authority.Pool(), own)
-		require.NoError(t, err)
-		return res
-	}
-	l, err := link.Listen("127.0.0.1:0", credentials(certificate.RoleAgent, "a").ServerConfig(set.Of(certificate.RoleEntry)))
+	issuer := certificatetest.New(t)
+	l, err := link.Listen("127.0.0.1:0", issuer.Credentials(certificate.RoleAgent, "a").ServerConfig(set.Of(certificate.RoleEntry)))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
@@ -41,7 +31,7 @@
 			}
 		}
 	}()
-	d := link.NewDialer("127.0.0.1", credentials(certificate.RoleEntry, "e").ClientConfig(certificate.RoleAgent))
+	d := link.NewDialer("127.0.0.1", issuer.Credentials(certificate.RoleEntry, "e").ClientConfig(certificate.RoleAgent))
 	t.Cleanup(d.Close)
 	var res []*link.Conn
 	for range n {
