Cut answers to agents after each of their bytes

Change: TestCutAfterEachByte for answers with a length, in chunks and streams; rows of TestBrokenAnswers for HTTP/1.0, interim answers without end, trailers, two lengths and bytes of no protocol.

Go reads heads up to the limit of the transport, and an answer without a length was an error before.

--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -102,6 +102,13 @@
 	}{
 		"whole":             {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", body: "ok"},
 		"chunked":           {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", body: "ok"},
+		"HTTP/1.0":          {answer: "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", body: "ok"},
+		"HTTP/1.0, close":   {answer: "HTTP/1.0 200 OK\r\n\r\nok", failure: "neither a Content-Length nor chunked encoding"},
+		"interim answer":    {answer: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", body: "ok"},
+		"interim answers":   {answer: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 400), failure: "exceeded"},
+		"trailer":           {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n", body: "ok"},
+		"two lengths":       {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", failure: "Content-Length"},
+		"no protocol":       {answer: "ready\r\n\r\n", failure: "malformed"},
 		"no content":        {answer: "HTTP/1.1 204 No Content\r\n\r\n"},
 		"ends by close":     {answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", failure: "neither a Content-Length nor chunked encoding"},
 		"short":             {answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", failure: "unexpected EOF", body: "ok"},
@@ -148,6 +155,37 @@
 	}
 }
 
+// Guards against an answer that breaks off after any of its bytes and is taken for complete.
+func TestCutAfterEachByte(t *testing.T) {
+	const events = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		stream bool
+		// spare is the number of bytes at the end that a complete answer can lack.
+		spare int
+	}{
+		"length":  {answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"},
+		"chunked": {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"},
+		// Of a stream, the end of the last event is the end, whatever its chunk says.
+		"stream": {answer: events + "23\r\nid: 1\ndata: a\n\nid: 2\ndata: [DONE]\n\n\r\n0\r\n\r\n", stream: true, spare: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for n := range len(c.answer) + 1 {
+				s := newFixedServer(t, c.answer[:n])
+				client := newClient(t, s, engine.Settings{MaxResumes: 1, SilenceTimeout: time.Second})
+				a, err := client.Run(t.Context(), damasktrail.Call{ID: "a", Method: http.MethodPost, Path: "/call", Stream: c.stream})
+				if err == nil {
+					_, err = readAll(a)
+					a.Close()
+				}
+				require.Equal(t, n >= len(c.answer)-c.spare, err == nil, "%d of %d bytes: %v", n, len(c.answer), err)
+				require.Equal(t, 1, s.count("POST /call"))
+			}
+		})
+	}
+}
+
 // Guards against a call that reaches the endpoint although its error reports that
 // it was not dispatched, which can happen when its context ends around the first
 // write.
