Tell the other entries of a crash before a stream is cut by it

Cause: the entry gives its caller the failure of a crashed request 300 ms after it was told, so that other entries know of the crash when the request comes again (docs/design.md). A stream that had begun was cut at once: the three crashes of that run are 31 and 33 ms apart.

Change: the wait follows each attempt that ends with a crash, also that of a stream that had begun and of a request with a ticket.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -182,8 +182,13 @@
 	}
 	_ = stream.CloseSend()
 	refusal := e.receive(c, r, sess, stream, out)
-	if refusal != nil {
-		stream.StopReceive()
+	if refusal == nil {
+		return nil
+	}
+	stream.StopReceive()
+	if refusal.Reason == damasktrail.ReasonCrashed {
+		// The caller may send the request again as soon as it learns of the crash.
+		_ = e.clock.Sleep(ctx, crashPropagationWait)
 	}
 	return refusal
 }
--- a/entry/crashing_part_test.go
+++ b/entry/crashing_part_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -56,6 +57,13 @@
 	go func() { _ = server.Serve(l) }()
 }
 
+// crashTimes returns the times of the crashes.
+func (c *crashingEndpoints) crashTimes() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.crashes)
+}
+
 // after returns the number of crashes later than the given time after the fifth.
 func (c *crashingEndpoints) after(d time.Duration) int {
 	c.mu.Lock()
@@ -116,3 +124,31 @@
 	require.LessOrEqual(t, c.after(3*time.Second), 3)
 	require.GreaterOrEqual(t, served*100, sent*95)
 }
+
+// Guards against a caller that learns of a crash amid its stream before the other entries do,
+// and that crashes one endpoint after another by sending the request again at once.
+func TestCrashIsToldBeforeStreamIsCut(t *testing.T) {
+	const (
+		told  = 250 * time.Millisecond
+		limit = 2
+	)
+	c := &crashingEndpoints{t: t}
+	var options []standin.EndpointOptions
+	for i := range 6 {
+		options = append(options, c.options(i))
+	}
+	c.fleet = newFleet(t, 3, options...)
+	for _, e := range c.fleet.endpoints {
+		e.SetFault(standin.EndpointFault{Marker: "crash", After: 3})
+	}
+	const body = `{"model":"jury","max_tokens":9,"stream":true,"messages":[{"role":"user","content":"crash"}]}`
+	for i := range 6 {
+		before := len(c.crashTimes())
+		_, _, _ = send("POST", c.fleet.callers[i%3]+chat, body)
+		if crashes := c.crashTimes(); len(crashes) > before {
+			require.GreaterOrEqual(t, time.Since(crashes[before]), told)
+		}
+	}
+	require.NotEmpty(t, c.crashTimes())
+	require.LessOrEqual(t, len(c.crashTimes()), limit)
+}
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -53,9 +53,6 @@
 		p.mayHaveRun = true
 		p.excluded[r.vm.Name] = true
 		e.stats.recordFailure(c.target, r.vm.Name, e.clock.Now())
-		if p.lastRefusal.Reason == damasktrail.ReasonCrashed {
-			_ = e.clock.Sleep(ctx, crashPropagationWait)
-		}
 		if !c.idempotent || p.lastRefusal.Reason == damasktrail.ReasonCrashed && e.evidence.Suspected(c.features) {
 			return false
 		}
