--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -29,7 +29,7 @@
 	conns atomic.Int64
 }
 
-func serve(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *fakeEndpoint {
+func serve(t testing.TB, handle func(c net.Conn, r *bufio.Reader)) *fakeEndpoint {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -65,7 +65,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-func newPool(t *testing.T) *upstream.Pool {
+func newPool(t testing.TB) *upstream.Pool {
 	t.Helper()
 	tasks := group.New(context.Background())
 	p := upstream.New(timer.New(tasks), tasks, func() {})
