Do not take a rejection for a sound answer to a part that crashes endpoints

Requests with the part that are rejected now and then, as a caller may send by mistake or on purpose, kept it from being refused.

Change: only a success is a sound answer, at gateways and entries. That the endpoint has answered still shows that it has not crashed.

Result: TestPartOfPromptThatCrashesEndpoints has a row with ten rejected requests a second beside the crashing ones.

--- a/entry/evidence.go
+++ b/entry/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"net/http"
 	"time"
 
 	"damasktrail.dev/member"
@@ -25,6 +26,14 @@
 	e.post(func(ctl *control) { ctl.broadcastEvidence() })
 }
 
+// recordSound records that the answer to the request is sound or has begun so. Only a success
+// is: an endpoint may reject a request with a message that would crash it.
+func (e *Entry) recordSound(c *call, status int, now time.Time) {
+	if status < http.StatusMultipleChoices {
+		e.evidence.AddAnswer(c.features, now)
+	}
+}
+
 // refusesFeatures reports whether the request is refused for what it has in common with
 // requests that crashed endpoints.
 func (e *Entry) refusesFeatures(c *call) bool {
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -15,7 +15,7 @@
 func (e *Entry) receive(c *call, r *remoteAgent, sess *session, stream *link.Stream, out *output) *damasktrail.Refusal {
 	var chunks, digest uint64
 	var firstChunk time.Time
-	headReceived := false
+	headReceived, status := false, 0
 	for {
 		raw, err := stream.Receive()
 		if err != nil {
@@ -29,7 +29,7 @@
 			if err != nil || headReceived {
 				return e.protocolError(err)
 			}
-			headReceived = true
+			headReceived, status = true, h.Status
 			out.setHead(h)
 		case frame.KindChunk:
 			m, err := frame.DecodeChunk(raw)
@@ -40,7 +40,7 @@
 			case 1:
 				firstChunk = now
 			case soundChunks:
-				e.evidence.AddAnswer(c.features, now)
+				e.recordSound(c, status, now)
 			}
 			digest = crc64.Update(digest, crcTable, m.Data)
 			if err := out.write(m.Data, stream.Ready(), now); err != nil {
@@ -55,7 +55,7 @@
 			}
 			r.record(m.Load, now)
 			e.affinity.record(c.prefixes, r.vm.Name)
-			e.evidence.AddAnswer(c.features, now)
+			e.recordSound(c, status, now)
 			e.compareEndGeneration(sess, m.Generation)
 			e.stats.recordAnswer(c, r.vm.Name, damasktrail.Usage{Prefill: m.Prefill, Decode: m.Decode}, meanInterval(firstChunk, now, chunks), now)
 			if err := out.finish(); err != nil {
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -127,19 +128,22 @@
 }
 
 // recordAnswer records a complete answer of an endpoint to an attempt that was sent at
-// the given time. It is not sound if only the end of the connection ended it before a
-// few events: it may have been cut off by a crash.
-func (c *call) recordAnswer(endpoint string, sent time.Time, sound bool) {
+// the given time. If ended is false, only the end of the connection ended it before a
+// few events: it may have been cut off by a crash. Only a success is a sound answer: an
+// endpoint may reject a request with a part that would crash it.
+func (c *call) recordAnswer(endpoint string, sent time.Time, status int, ended bool) {
 	g := c.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	if !sound {
+	if !ended {
 		g.lostRequests.add(endpoint, c.features, now)
 		return
 	}
 	g.lostRequests.clear(endpoint, sent)
-	g.evidence.AddAnswer(c.features, now)
+	if status < http.StatusMultipleChoices {
+		g.evidence.AddAnswer(c.features, now)
+	}
 }
 
 // recordUnreachable records that an endpoint accepts no connections. The requests
--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -74,6 +74,11 @@
 	}
 	server := &http.Server{}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Malformed") != "" {
+			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+			http.Error(w, "malformed", http.StatusBadRequest)
+			return
+		}
 		if part := f.receive(r); part != "" {
 			f.crash(w, r, part, fleet.Endpoint{ID: id, Domain: domain, Address: l.Addr().String()}, server)
 			return
@@ -259,6 +264,16 @@
 	return res
 }
 
+// sendMalformed sends requests that endpoints reject, from callers of all members in turn,
+// until the context ends.
+func sendMalformed(ctx context.Context, members []*fleetMember, path, parts string) {
+	for i := 0; ctx.Err() == nil; i++ {
+		id := fmt.Sprint("malformed-", i)
+		members[i%len(members)].send(path, id, id, "Prefix-Hash", parts, "X-Malformed", "1")
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 const (
 	chunkedHead = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	openHead    = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -279,16 +294,19 @@
 		// slow says that there are few requests, and that the ports of crashed endpoints
 		// close late.
 		slow bool
+		// rejected says that endpoints reject other requests with the part as malformed.
+		rejected bool
 	}{
-		{"in the middle, before the head", "/stream/x", "", []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, false, false},
-		{"next to last, in chunks", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false, false},
-		{"first, without length", "/stream/x", openHead, []string{"bad:60,b%d:400,d%d:9"}, 4, false, false},
-		{"inside an event, without length, resumed", "/resume/x", openHead + "id: 1\nda", []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false, false},
-		{"only shared part, plain answer", "/read/x", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nan", []string{"bad:%d,d%d:9"}, 4, false, false},
-		{"two parts, large fleet", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, false},
-		{"two parts, 24 gateways", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 24, false, false},
-		{"a gateway starts anew", "/stream/x", chunkedHead, []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, true, false},
-		{"two parts, large fleet, ports close late", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, true},
+		{"in the middle, before the head", "/stream/x", "", []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, false, false, false},
+		{"next to last, in chunks", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false, false, false},
+		{"first, without length", "/stream/x", openHead, []string{"bad:60,b%d:400,d%d:9"}, 4, false, false, false},
+		{"inside an event, without length, resumed", "/resume/x", openHead + "id: 1\nda", []string{"aa:60,b%d:400,bad:200,d%d:9"}, 4, false, false, false},
+		{"only shared part, plain answer", "/read/x", "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 6\r\n\r\nan", []string{"bad:%d,d%d:9"}, 4, false, false, false},
+		{"two parts, large fleet", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, false, false},
+		{"two parts, 24 gateways", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 24, false, false, false},
+		{"a gateway starts anew", "/stream/x", chunkedHead, []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, true, false, false},
+		{"other requests with the part are rejected", "/stream/x", chunkedHead, []string{"aa:60,bad:400,c%d:200,d%d:9"}, 4, false, false, true},
+		{"two parts, large fleet, ports close late", "/stream/x", chunkedHead, []string{"aa:60,b%d:400,bad:200,d%d:9", "aa:60,worse:9,c%d:200,d%d:9"}, 8, false, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -308,6 +326,9 @@
 					members[3].start(99)
 				})
 			}
+			if c.rejected {
+				go sendMalformed(ctx, members, c.path, "aa:60,bad:400,d:9")
+			}
 			bad := func(i int) string { return fmt.Sprintf(c.prompts[i%len(c.prompts)], i%3, 1000000+i) }
 			sound := sendPrompts(ctx, t, members, f, c.path, interval, badInterval, bad)
 			for _, part := range parts {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -156,7 +156,7 @@
 		grant.Done(dispatch.Failed, 0)
 		return false, nil
 	case err == nil:
-		c.recordAnswer(c.endpoint, c.sentAt, a.Delimited() || out.attemptEvents >= soundEvents)
+		c.recordAnswer(c.endpoint, c.sentAt, a.Status, a.Delimited() || out.attemptEvents >= soundEvents)
 		grant.Done(dispatch.Answered, out.pace())
 		return false, nil
 	case errors.Is(err, errCallerGone):
