End a request, not the agent, on an unexpected error

It can happen at an agent: a panic in the goroutine that runs a request ended the process and every request that ran at its endpoint.

Change: a panic while a request runs is logged with its stack, counted, and ends the request as lost, outcome unknown; its place at the endpoint is given back. One before that resets the stream of the attempt. Panics of the control goroutine still end the agent: its state could not be trusted. At entries and gateways net/http confines a panic to its request.

Result: TestPanicEndsOnlyItsRequest: the test process ended before; three such requests get lost/unknown now and a sound one after them is answered.

--- a/agent/entry.go
+++ b/agent/entry.go
@@ -87,6 +87,12 @@
 // serveStream distinguishes attempts from the control stream by their first
 // frame.
 func (a *Agent) serveStream(conn *link.Conn, s *link.Stream, reportedUnixNano *atomic.Int64) {
+	defer func() {
+		if v := recover(); v != nil {
+			a.recordPanic(v)
+			s.Cancel()
+		}
+	}()
 	first, err := s.Receive()
 	if err != nil {
 		s.Cancel()
--- a/agent/link_test.go
+++ b/agent/link_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http/httptest"
@@ -66,7 +67,7 @@
 	f.agent, err = agent.New(agent.Settings{
 		Name: "agent", Domain: "be-a", Set: "jurying", Listen: "127.0.0.1:0", Inflight: 64, Waiting: 64, Tokens: 1000, Ticket: time.Minute,
 	}, f.Credentials(certificate.RoleAgent, "agent").ServerConfig(set.Of(certificate.RoleEntry)),
-		engine.New(server.URL, nil, clock, engine.Settings{}), clock, tasks, m, slog.New(slog.DiscardHandler))
+		panickingEngine{engine.New(server.URL, nil, clock, engine.Settings{})}, clock, tasks, m, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = f.agent.Close() })
 	f.agent.Start()
@@ -223,30 +224,71 @@
 // answered, and so sends the next turn of a conversation to another one.
 func TestAnswerReportsLoadWithoutItsRequest(t *testing.T) {
 	f := newFixture(t, 1)
-	sample, err := os.ReadFile("../samples/jury.json")
-	require.NoError(t, err)
-	d, err := document.Parse(sample)
-	require.NoError(t, err)
-	e := f.dial("entry", d.Generation)
-	require.NoError(t, e.control.Send(frame.KindWhole, frame.Whole{Topic: frame.TopicDocument, Data: sample}))
-	require.Eventually(t, f.agent.Ready, 2*time.Second, time.Millisecond)
+	e, open := f.dialWithDocument()
 	for i := range 200 {
-		stream, err := e.conn.Open(t.Context())
+		end := e.run(t, open(fmt.Sprint(i)))
+		m, err := frame.Decode[frame.End](end, frame.KindEnd)
 		require.NoError(t, err)
-		require.NoError(t, stream.Send(frame.KindOpen, frame.Open{
-			ID: fmt.Sprint(i), Organisation: "ghent", Model: "jury", Method: "POST", Path: "/v1/completions", Type: "application/json",
+		require.Zero(t, m.Load.Running, "request %d", i)
+		require.Zero(t, m.Load.Prefill, "request %d", i)
+	}
+}
+
+// dialWithDocument returns an entry that has given the agent its document, and a function
+// that returns an attempt of the given ID.
+func (f *fixture) dialWithDocument() (e *testEntry, open func(id string) frame.Open) {
+	sample, err := os.ReadFile("../samples/jury.json")
+	require.NoError(f.t, err)
+	d, err := document.Parse(sample)
+	require.NoError(f.t, err)
+	e = f.dial("entry", d.Generation)
+	require.NoError(f.t, e.control.Send(frame.KindWhole, frame.Whole{Topic: frame.TopicDocument, Data: sample}))
+	require.Eventually(f.t, f.agent.Ready, 2*time.Second, time.Millisecond)
+	return e, func(id string) frame.Open {
+		return frame.Open{
+			ID: id, Organisation: "ghent", Model: "jury", Method: "POST", Path: "/v1/completions", Type: "application/json",
 			Body: []byte(`{"model":"jury","prompt":"a","max_tokens":1}`), DeadlineMillis: 10_000, Generation: d.Generation, Floor: -1,
 			Cost: damasktrail.Cost{Prefill: 500, Decode: 1},
-		}))
-		end := frame.Raw{}
-		for end.Kind != frame.KindEnd {
-			end, err = stream.Receive()
-			require.NoError(t, err)
-			require.NotEqual(t, frame.KindRefuse, end.Kind)
 		}
-		m, err := frame.Decode[frame.End](end, frame.KindEnd)
+	}
+}
+
+// run sends an attempt and returns the frame that ends it.
+func (e *testEntry) run(t *testing.T, open frame.Open) frame.Raw {
+	t.Helper()
+	stream, err := e.conn.Open(t.Context())
+	require.NoError(t, err)
+	require.NoError(t, stream.Send(frame.KindOpen, open))
+	for {
+		raw, err := stream.Receive()
 		require.NoError(t, err)
-		require.Zero(t, m.Load.Running, "request %d", i)
-		require.Zero(t, m.Load.Prefill, "request %d", i)
+		if raw.Kind == frame.KindEnd || raw.Kind == frame.KindRefuse {
+			return raw
+		}
+	}
+}
+
+// panickingEngine panics when it runs a call with the ID "panic".
+type panickingEngine struct{ damasktrail.Engine }
+
+// Run implements damasktrail.Engine.
+func (e panickingEngine) Run(ctx context.Context, c damasktrail.Call) (damasktrail.Answer, error) {
+	if c.ID == "panic" {
+		panic("unexpected")
+	}
+	return e.Engine.Run(ctx, c)
+}
+
+// Guards against an unexpected error in one request that ends the agent, with all others that
+// run there, or that keeps its place at the endpoint for ever.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	f := newFixture(t, 1)
+	e, open := f.dialWithDocument()
+	for range 3 {
+		r, err := frame.Decode[frame.Refuse](e.run(t, open("panic")), frame.KindRefuse)
+		require.NoError(t, err)
+		require.Equal(t, damasktrail.Unknown, r.Outcome)
+		require.Zero(t, r.Load.Running)
 	}
+	require.Equal(t, frame.KindEnd, e.run(t, open("sound")).Kind)
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/crc64"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"damasktrail.dev"
@@ -68,6 +69,12 @@
 			c.finish(w, complete, now)
 		})
 	}()
+	defer func() {
+		if v := recover(); v != nil {
+			a.recordPanic(v)
+			refusal = &damasktrail.Refusal{Reason: damasktrail.ReasonLost, Outcome: damasktrail.Unknown, Detail: "the agent failed while it ran the request"}
+		}
+	}()
 	answer, err := a.engine.Run(ctx, damasktrail.Call{
 		ID:     open.ID,
 		Method: open.Method,
@@ -108,6 +115,12 @@
 	}
 }
 
+// recordPanic counts and logs a panic that ends one request and not the agent.
+func (a *Agent) recordPanic(value any) {
+	a.metrics.Count("panics", 1)
+	a.log.Error("request failed with a panic", "panic", value, "stack", string(debug.Stack()))
+}
+
 func cancelledRefusal() *damasktrail.Refusal {
 	return &damasktrail.Refusal{
 		Reason: damasktrail.ReasonCancelled, Outcome: damasktrail.Unknown,
