--- a/agent/run.go
+++ b/agent/run.go
@@ -55,8 +55,9 @@
 }
 
 // run sends a request to the endpoint, once and without retries, and passes the
-// answer to out. When it returns, the agent's load is without the request. sent is false if no byte of the request reached the endpoint, which
-// cannot be reached then.
+// answer to out. sent is false if no byte of the request reached the endpoint, which
+// cannot be reached then. Once run has returned, the published load is without the
+// request.
 func (a *Agent) run(ctx context.Context, w *work, open frame.Open, out sink) (usage damasktrail.Usage, refusal *damasktrail.Refusal, sent bool) {
 	complete := false
 	sent = true
--- a/entry/crashing_part_test.go
+++ b/entry/crashing_part_test.go
@@ -20,11 +20,28 @@
 type crashingEndpoints struct {
 	t     *testing.T
 	fleet *fleet
+	fault standin.EndpointFault
 
 	mu      sync.Mutex
 	crashes []time.Time
 }
 
+// newCrashingEndpoints returns a fleet of three entries and n endpoints with a fault that
+// crashes them.
+func newCrashingEndpoints(t *testing.T, n int, fault standin.EndpointFault) *crashingEndpoints {
+	t.Helper()
+	c := &crashingEndpoints{t: t, fault: fault}
+	var options []standin.EndpointOptions
+	for i := range n {
+		options = append(options, c.options(i))
+	}
+	c.fleet = newFleet(t, 3, options...)
+	for _, e := range c.fleet.endpoints {
+		e.SetFault(fault)
+	}
+	return c
+}
+
 // options returns the options of the endpoint with the number i.
 func (c *crashingEndpoints) options(i int) standin.EndpointOptions {
 	return standin.EndpointOptions{Crash: func() { go c.crash(i) }}
@@ -48,7 +65,7 @@
 	}
 	e := standin.NewEndpoint(c.options(i))
 	c.t.Cleanup(e.Close)
-	e.SetFault(standin.EndpointFault{Marker: "crash"})
+	e.SetFault(c.fault)
 	server := &http.Server{Handler: e.Handler(), ConnContext: e.ConnContext}
 	c.mu.Lock()
 	c.fleet.servers[i].Config, c.fleet.servers[i].Listener = server, l
@@ -81,15 +98,7 @@
 // alike but that share one message, and against refusing sound chats that share their
 // caller and their other messages.
 func TestMessageThatCrashesEndpoints(t *testing.T) {
-	c := &crashingEndpoints{t: t}
-	var options []standin.EndpointOptions
-	for i := range 8 {
-		options = append(options, c.options(i))
-	}
-	c.fleet = newFleet(t, 3, options...)
-	for _, e := range c.fleet.endpoints {
-		e.SetFault(standin.EndpointFault{Marker: "crash"})
-	}
+	c := newCrashingEndpoints(t, 8, standin.EndpointFault{Marker: "crash"})
 	body := func(message string, i int) string {
 		return fmt.Sprintf(`{"model":"jury","max_tokens":3,"messages":[{"role":"system","content":"Be fair."},{"role":"user","content":"%s"},{"role":"user","content":"number %d"}]}`, message, i)
 	}
@@ -132,15 +141,7 @@
 		told  = 250 * time.Millisecond
 		limit = 2
 	)
-	c := &crashingEndpoints{t: t}
-	var options []standin.EndpointOptions
-	for i := range 6 {
-		options = append(options, c.options(i))
-	}
-	c.fleet = newFleet(t, 3, options...)
-	for _, e := range c.fleet.endpoints {
-		e.SetFault(standin.EndpointFault{Marker: "crash", After: 3})
-	}
+	c := newCrashingEndpoints(t, 6, standin.EndpointFault{Marker: "crash", After: 3})
 	const body = `{"model":"jury","max_tokens":9,"stream":true,"messages":[{"role":"user","content":"crash"}]}`
 	for i := range 6 {
 		before := len(c.crashTimes())
--- a/suspect/evidence.go
+++ b/suspect/evidence.go
@@ -39,9 +39,9 @@
 )
 
 // trialWaits are the times after the latest crash after which a request with a refused
-// part is let through, by the number of trials, of all entries, that ended in a crash. The first are
-// short for parts that were in many crashes by chance, as in an outage of all
-// endpoints.
+// part is let through, by the number of trials, of all entries, that ended in a crash.
+// The first are short for parts that were in many crashes by chance, as in an outage of
+// all endpoints.
 var trialWaits = [...]time.Duration{3 * time.Second, 20 * time.Second, ProbeInterval}
 
 // Verdict is the decision about a request.
