Run two fleets of crashing parts at a time, and take another port when one is taken

One row found the port of a gateway taken by another process.

Change: two rows run at a time, since five fleets at once slow one another; the outcomes of sound requests that were not served are printed; a gateway of a test fleet takes other ports when its own are taken, as single gateways of tests do. No bound changes.

The test depends on the speed of the machine.

--- a/gateway/crashing_part_test.go
+++ b/gateway/crashing_part_test.go
@@ -218,8 +218,11 @@
 }
 
 // soundCount counts sound requests that were sent and that were served at the first
-// attempt.
-type soundCount struct{ sent, served int }
+// attempt. failures has the others by how they ended.
+type soundCount struct {
+	sent, served int
+	failures     map[string]int
+}
 
 // sendPrompts sends a sound prompt each interval and, each badInterval, one with a part of
 // bad, from callers of all members, until the context ends. It returns the counts of the sound
@@ -228,7 +231,7 @@
 	t.Helper()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var res soundCount
+	res := soundCount{failures: map[string]int{}}
 	request := func(id, parts string, sound bool) {
 		defer wg.Done()
 		sent := time.Now()
@@ -246,6 +249,8 @@
 			res.sent++
 			if got.err == nil && got.status == http.StatusOK {
 				res.served++
+			} else {
+				res.failures[fmt.Sprintf("%d, %d bytes, %v", got.status, len(got.body), got.err)]++
 			}
 		}
 	}
@@ -283,6 +288,9 @@
 // are alike but that share one part of their prompts, and against refusing sound
 // requests that share their caller and their other parts.
 func TestPartOfPromptThatCrashesEndpoints(t *testing.T) {
+	// More fleets at once would be slowed by one another on a busy machine.
+	const fleetsAtOnce = 2
+	fleets := make(chan struct{}, fleetsAtOnce)
 	for _, c := range []struct {
 		name, path, partial string
 		// prompts are those of crashing requests in turn; the first %d is one of a few
@@ -310,6 +318,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
+			fleets <- struct{}{}
+			defer func() { <-fleets }()
 			members := startFleet(t, c.members)
 			parts := []string{"bad", "worse"}[:len(c.prompts)]
 			f := newCrashingFleet(t, members[0].fakeDirectory, 14, c.partial, parts...)
@@ -333,8 +343,8 @@
 			sound := sendPrompts(ctx, t, members, f, c.path, interval, badInterval, bad)
 			for _, part := range parts {
 				late := f.lateArrivals(part)
-				t.Logf("%s: %d endpoints crashed, %d of %d crashing requests came late, %d of %d sound requests were served",
-					part, len(f.crashes[part]), late, len(f.arrivals[part]), sound.served, sound.sent)
+				t.Logf("%s: %d endpoints crashed, %d of %d crashing requests came late, %d of %d sound requests were served, others %v",
+					part, len(f.crashes[part]), late, len(f.arrivals[part]), sound.served, sound.sent, sound.failures)
 				require.NotEmpty(t, f.crashes[part])
 				require.LessOrEqual(t, late, 3, "requests with the part that reached an endpoint too late")
 			}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,7 +76,7 @@
 		m.settings = gateway.Settings{
 			Name: fmt.Sprintf("entry-%d", i), Domain: fmt.Sprint("d", i%2), Callers: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t),
 			Seeds: []string{seed}, Directory: "127.0.0.1:1", Grace: 4 * time.Second, Revocation: 3 * time.Second,
-			Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56}, Millicores: 1000 - 100*i,
+			Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56}, Millicores: max(100, 1000-100*i),
 		}
 		if i == 0 {
 			m.settings.Peers = seed
@@ -91,12 +93,30 @@
 
 // start starts a process of the gateway. Boot differs from those of other processes.
 func (m *fleetMember) start(boot uint64) {
+	m.t.Helper()
+	err := m.tryStart(boot)
+	for range 5 {
+		// Another process may take a free port before the gateway does.
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+		m.settings.Callers, m.settings.Ready = freeAddress(m.t), freeAddress(m.t)
+		err = m.tryStart(boot)
+	}
+	require.NoError(m.t, err)
+}
+
+// tryStart starts a process of the gateway, or returns why it did not start.
+func (m *fleetMember) tryStart(boot uint64) error {
 	m.tasks = group.New(context.Background())
 	metrics, err := telemetry.New("gateway")
 	require.NoError(m.t, err)
 	m.gateway, err = gateway.New(m.settings, m.fakeDirectory, platform.Dialect{}, timer.New(m.tasks), timer.Uptime, boot, m.tasks, metrics, slog.New(slog.NewJSONHandler(m.log, nil)))
 	require.NoError(m.t, err)
-	require.NoError(m.t, m.gateway.Start(func(err error) { m.t.Error(err) }))
+	if err = m.gateway.Start(func(err error) { m.t.Error(err) }); err != nil {
+		m.stop()
+	}
+	return err
 }
 
 // stop ends the gateway as a kill does: it tells nobody.
