--- a/review/standin/hang_test.go
+++ b/review/standin/hang_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -83,6 +84,20 @@
 	for _, g := range w.gateways {
 		w.note("%s says that it is ready: %v", g.name, g.ready())
 	}
+	// How the processes end does not decide the case.
+	for _, g := range w.gateways {
+		g.signal(syscall.SIGTERM)
+	}
+	grace := time.After(8 * time.Second)
+	for _, g := range w.gateways {
+		select {
+		case <-g.exited:
+			w.note("%s has ended", g.name)
+		case <-grace:
+			w.note("%s has not ended within grace_s, user time so far %v", g.name, g.userTime())
+			grace = time.After(0)
+		}
+	}
 	return !after[0].broken() && !after[1].broken(), nil
 }
 
--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -7,7 +7,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"testing"
 	"time"
 )
@@ -62,6 +61,3 @@
 		return exitNotRun
 	}
 }
-
-// digits returns the number of digits, for records.
-func digits(s string) int { return len(strings.TrimLeft(s, "-")) }
--- a/review/standin/world_test.go
+++ b/review/standin/world_test.go
@@ -263,6 +263,15 @@
 	<-g.exited
 }
 
+// userTime returns the processor time that the process has used.
+func (g *gateway) userTime() string {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", g.command.Process.Pid))
+	if f := strings.Fields(string(b)); len(f) > 13 {
+		return f[13] + " ticks"
+	}
+	return "unknown"
+}
+
 // ready reports whether the platform's question is answered with 200.
 func (g *gateway) ready() bool {
 	client := http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
