--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*world) (held bool, err error){
 	"hang":   playHang,
 	"tenant": playTenant,
+	"writer": playWriter,
 }
 
 // TestMain is the program.
