Review: show that one incomplete entry misdirects requests for good

Cause: besides, Scheduler.SetEndpoints leaves an endpoint in its former service when its entry names another one.

--- a/review/standin/writer_test.go
+++ b/review/standin/writer_test.go
@@ -29,8 +29,11 @@
 	}
 	victim := w.replicas[0]
 	var done sync.WaitGroup
-	for n := range 80 {
-		if w.trouble && n%20 == 10 {
+	// The replica writes its entry every 1.2 s, so the other writer's holds no longer.
+	var written time.Time
+	for n := range 200 {
+		if w.trouble && n == 20 {
+			written = time.Now()
 			w.store.put("servers/"+victim.id, map[string]any{"service": "sklep", "address": victim.address, "zone": "lodz-a", "slots": 4, "state": "ready"})
 			w.note("another writer: servers/%s with service sklep, without version, sequence, cold_remaining_ms", victim.id)
 		}
@@ -48,14 +51,17 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	done.Wait()
-	wrong := 0
+	wrong, later := 0, 0
 	runs := w.allRuns()
 	for _, r := range runs {
 		if strings.HasPrefix(r.target, "/cufi504/") && r.service != "sklep" {
 			wrong++
+			if r.at.Sub(written) > 3*time.Second {
+				later++
+			}
 		}
 	}
-	w.note("%d runs, %d of them by a service to which no configuration sent the route", len(runs), wrong)
+	w.note("%d runs, %d of them by a service to which no configuration sent the route, %d of these over 3 s after the entry", len(runs), wrong, later)
 	if len(runs) == 0 {
 		return false, fmt.Errorf("no request has run")
 	}
