--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -21,6 +21,7 @@
 // cases are the players by name. Each returns whether the rule held.
 var cases = map[string]func(*world) (held bool, err error){
 	"hang":   playHang,
+	"keys":   playKeys,
 	"path":   playPath,
 	"tenant": playTenant,
 	"writer": playWriter,
