--- a/review/standin/world_test.go
+++ b/review/standin/world_test.go
@@ -96,8 +96,10 @@
 	w.store.put("op/config", map[string]any{
 		"version": w.version, "routes": w.routes, "tenants": w.tenants,
 		"services": []any{
-			map[string]any{"name": "pisarz", "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": 4, "kv_capacity": kvCapacity, "models": []any{map[string]any{"name": "m"}}}},
+			map[string]any{
+				"name": "pisarz", "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false,
+				"engine": map[string]any{"slots": 4, "kv_capacity": kvCapacity, "models": []any{map[string]any{"name": "m"}}},
+			},
 			map[string]any{"name": "sklep", "health_path": "/healthz", "max_connections": 96, "protocol": "h1", "tls": false},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
