--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -56,9 +58,14 @@
 			done <- exitBroken
 		}
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
 	select {
 	case code := <-done:
 		return code
+	case <-stopped:
+		w.note("case could not run: stopped")
+		return exitNotRun
 	case <-time.After(110 * time.Second):
 		w.note("case could not run: time is over")
 		return exitNotRun
