--- /dev/null
+++ b/review/standin/main_test.go
@@ -0,0 +1,67 @@
+// Package standin has the stand-ins for the cases of the review: a store, replicas and
+// requesters as ../given/kit/more/system/PROTOCOL.md tells them, and a player that starts
+// gateways as processes of their own. It is built by review/build.sh and started by run.sh
+// of a case as: standin CASE ROOT RECORD.
+package standin
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// cases are the players by name. Each returns whether the rule held.
+var cases = map[string]func(*world) (held bool, err error){
+	"hang":   playHang,
+	"tenant": playTenant,
+}
+
+// TestMain is the program.
+func TestMain(*testing.M) { os.Exit(play(os.Args[1:])) }
+
+func play(args []string) int {
+	if len(args) != 3 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
+		return exitNotRun
+	}
+	w, err := newWorld(args[1], args[2], os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer w.close()
+	done := make(chan int, 1)
+	go func() {
+		held, err := cases[args[0]](w)
+		switch {
+		case err != nil:
+			w.note("case could not run: %v", err)
+			done <- exitNotRun
+		case held:
+			w.note("rule held")
+			done <- exitHeld
+		default:
+			w.note("rule broken")
+			done <- exitBroken
+		}
+	}()
+	select {
+	case code := <-done:
+		return code
+	case <-time.After(110 * time.Second):
+		w.note("case could not run: time is over")
+		return exitNotRun
+	}
+}
+
+// digits returns the number of digits, for records.
+func digits(s string) int { return len(strings.TrimLeft(s, "-")) }
