Decode how long work takes at an endpoint, and expected lengths

The gateway knew nothing of what endpoints state of their load, of the expected length of a response or of the pauses that a route allows, so that no choice could use them. Nothing uses the values yet.

--- a/dialect.go
+++ b/dialect.go
@@ -22,6 +22,9 @@
 	// Prompt is the number of prompt tokens, Output the maximum number of
 	// generated tokens.
 	Prompt, Output int
+	// Expected is the expected number of generated tokens, zero when the caller does not
+	// state it. It is right in the median and often far off.
+	Expected int
 	// SharedParts identifies the parts of the prompt that other prompts may have too,
 	// in order. Equal parts have equal values.
 	SharedParts []uint64
@@ -50,6 +53,8 @@
 	NotRun bool
 	// Notice is what the endpoint says of itself.
 	Notice fleet.Notice
+	// Load is what it states of its load.
+	Load fleet.StatedLoad
 }
 
 // Dialect decodes and encodes the header fields that callers, the scheduler and
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -71,6 +71,9 @@
 	Anonymous bool
 	// Resume allows another endpoint to continue a stream.
 	Resume bool
+	// Pause is the longest pause between two events of a stream with which it is in time;
+	// zero when it is unknown.
+	Pause time.Duration
 }
 
 // Repeatable reports whether a request may be sent again if it may already have
