Place requests by expected times where endpoints state how long work takes

The choice of an endpoint knew prompt sizes and a moving average of the pace, and took a slot that was free at once: a slow endpoint of the own failure domain in place of a fast one some tens of milliseconds later. For a service whose endpoints have stated figures in the last minute, or for which SetAdaptive says so, dispatch now measures the time to the first event and per output token, and takes the slot with the least expected loss: a late first event, a missed deadline, pauses in the own stream and in those beside it, failures. Figures travel with the start and the end of a slot, lasting estimates in summaries. All other services are served as before.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -106,6 +106,10 @@
 	// started, done and orphaned are guarded by the client's mutex. orphaned says that
 	// the coordinator does not know the slot, since it has been restarted.
 	started, done, orphaned bool
+	// load is what the answer states of the load of the endpoint, as it was at statedAt. It
+	// is guarded by the client's mutex.
+	load     fleet.StatedLoad
+	statedAt time.Time
 }
 
 // NewClient returns a client for the entry of that name. boot must differ between
@@ -350,19 +354,40 @@
 	c.fleet.Send(coordinator, datagram)
 }
 
-// Started records that the first byte of the answer has been received.
-func (s *Slot) Started() {
+// Started records that the first byte of the answer has been received, and what the answer
+// states of the load of the endpoint.
+func (s *Slot) Started(load fleet.StatedLoad) {
 	if s.grant != nil {
-		s.grant.Started()
+		s.grant.Started(load)
 		return
 	}
 	c := s.client
 	c.mu.Lock()
 	first := !s.started && !s.done
 	s.started = true
+	s.setLoad(load)
 	c.mu.Unlock()
 	if first {
-		c.send(s.Coordinator, message{Kind: kindStarted, Boot: c.boot, ID: s.id})
+		c.send(s.Coordinator, message{Kind: kindStarted, Boot: c.boot, ID: s.id}.withLoad(load))
+	}
+}
+
+// Stated records what an answer states of the load of the endpoint. The coordinator learns it
+// with the next message about the slot.
+func (s *Slot) Stated(load fleet.StatedLoad) {
+	if s.grant != nil {
+		s.grant.Stated(load)
+		return
+	}
+	s.client.mu.Lock()
+	defer s.client.mu.Unlock()
+	s.setLoad(load)
+}
+
+// setLoad records a stated load. It is called with the client's mutex held.
+func (s *Slot) setLoad(load fleet.StatedLoad) {
+	if load.Percent > 0 {
+		s.load, s.statedAt = load, s.client.clock.Now().Add(-load.Age)
 	}
 }
 
@@ -378,9 +403,14 @@
 	done := s.done
 	s.done = true
 	delete(c.held, s.id)
-	c.lastUse[s.Coordinator] = c.clock.Now()
+	now := c.clock.Now()
+	c.lastUse[s.Coordinator] = now
+	load := s.load
+	if load.Percent > 0 {
+		load.Age = now.Sub(s.statedAt)
+	}
 	c.mu.Unlock()
 	if !done {
-		c.send(s.Coordinator, message{Kind: kindDone, Boot: c.boot, ID: s.id, Result: result, PaceNanos: int64(pace)})
+		c.send(s.Coordinator, message{Kind: kindDone, Boot: c.boot, ID: s.id, Result: result, PaceNanos: int64(pace)}.withLoad(load))
 	}
 }
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -329,7 +329,7 @@
 				mu.Unlock()
 				e.slots <- struct{}{}
 				time.Sleep(time.Duration(e.slowdown * float64(100*time.Millisecond)))
-				s.Started()
+				s.Started(fleet.StatedLoad{})
 				mu.Lock()
 				if time.Since(start) <= kinds[tier].objective {
 					res.inTime[tier]++
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -53,6 +53,10 @@
 	// Waiting and Held are the numbers of the client's asks that wait and of those
 	// that have got a slot.
 	Waiting, Held []uint64
+	// Percent and LoadAgeNanos are what the answer states of the load of its endpoint, in
+	// messages of the kinds started and done.
+	Percent      int
+	LoadAgeNanos int64
 }
 
 // ask is the wire format of a dispatch.Request.
@@ -68,6 +72,9 @@
 	Avoid          string
 	Closed         []closure
 	Limits         []fleet.LimitReport
+	Output         int
+	PauseNanos     int64
+	Whole          bool
 }
 
 // closure is the wire format of a fleet.Closure. RemainingNanos is negative if the closure
@@ -87,6 +94,10 @@
 	StartedMillis           int64
 	Own, Peers, Free, Slots int
 	PaceNanos               int64
+	// Percent, Factor and Waited are those of the dispatch.Choice.
+	Percent int
+	Factor  dispatch.Factor
+	Waited  bool
 }
 
 // refusal is the wire format of a damasktrail.Refusal with the outcome NotRun.
@@ -109,6 +120,7 @@
 		Limits:  limits,
 		Service: r.Service, Engine: r.Engine, Organisation: r.Organisation, Tier: r.Tier,
 		ObjectiveNanos: int64(r.Objective), TimeoutNanos: int64(r.Timeout), Prompt: r.Prompt, Avoid: r.Avoid,
+		Output: r.Output, PauseNanos: int64(r.Pause), Whole: r.Whole,
 	}
 	for _, c := range r.Closed {
 		remaining := int64(c.Remaining)
@@ -124,6 +136,7 @@
 	res := dispatch.Request{
 		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: max(0, a.Tier),
 		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid, Client: client,
+		Output: min(max(0, a.Output), maxOutput), Pause: min(max(0, time.Duration(a.PauseNanos)), maxPause), Whole: a.Whole,
 	}
 	for _, c := range a.Closed[:min(len(a.Closed), maxClosures)] {
 		remaining := time.Duration(c.RemainingNanos)
@@ -140,6 +153,7 @@
 	return &slot{
 		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, StartedMillis: e.StartedMillis, Slots: e.Slots,
 		Own: c.Own, Peers: c.Peers, Free: c.Free, PaceNanos: int64(c.Pace),
+		Percent: c.Percent, Factor: c.Factor, Waited: c.Waited,
 	}
 }
 
@@ -148,7 +162,7 @@
 }
 
 func (s *slot) choice() dispatch.Choice {
-	return dispatch.Choice{Own: s.Own, Peers: s.Peers, Free: s.Free, Pace: time.Duration(s.PaceNanos)}
+	return dispatch.Choice{Own: s.Own, Peers: s.Peers, Free: s.Free, Pace: time.Duration(s.PaceNanos), Percent: s.Percent, Factor: s.Factor, Waited: s.Waited}
 }
 
 func newRefusal(r *damasktrail.Refusal) *refusal {
@@ -158,3 +172,20 @@
 func (r *refusal) refusal() *damasktrail.Refusal {
 	return &damasktrail.Refusal{Reason: r.Reason, Outcome: damasktrail.NotRun, RetryAfter: time.Duration(r.RetryAfterNanos), Detail: r.Detail}
 }
+
+const (
+	// maxOutput and maxPause bound what an ask may state, so that sums cannot overflow.
+	maxOutput = 1 << 20
+	maxPause  = time.Hour
+)
+
+// withLoad returns the message with what the answer states of the load of its endpoint.
+func (m message) withLoad(l fleet.StatedLoad) message {
+	m.Percent, m.LoadAgeNanos = l.Percent, int64(l.Age)
+	return m
+}
+
+// load returns what the answer states of the load of its endpoint.
+func (m message) load() fleet.StatedLoad {
+	return fleet.StatedLoad{Percent: m.Percent, Age: time.Duration(m.LoadAgeNanos)}.Valid()
+}
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -81,9 +81,12 @@
 		s.ask(client, m)
 	case kindStarted:
 		if a := s.find(client, m); a != nil {
-			a.Started()
+			a.Started(m.load())
 		}
 	case kindDone:
+		if a := s.find(client, m); a != nil {
+			a.Stated(m.load())
+		}
 		s.end(client, m, m.Result, time.Duration(m.PaceNanos))
 	case kindCancelled:
 		s.end(client, m, dispatch.Cancelled, 0)
--- /dev/null
+++ b/dispatch/adaptive.go
@@ -0,0 +1,21 @@
+package dispatch
+
+import "time"
+
+// statedRetention is how long after an endpoint has last stated how long its work takes its
+// service is treated as adaptive.
+const statedRetention = time.Minute
+
+// adaptive reports whether requests of the service are placed and admitted by expected
+// times: its configuration asks for it, or an endpoint has lately stated how long its work
+// takes. All other services are served as before.
+func (v *service) adaptive(now time.Time) bool {
+	return v.adaptiveSet || !v.statedAt.IsZero() && now.Sub(v.statedAt) < statedRetention
+}
+
+// SetAdaptive sets whether the configuration asks for the adaptive mode of a service.
+func (s *Scheduler) SetAdaptive(service string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service(service).adaptiveSet = on
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -101,6 +101,13 @@
 	Timeout time.Duration
 	// Prompt is the number of prompt tokens.
 	Prompt int
+	// Output is the expected number of output tokens, zero when it is unknown.
+	Output int
+	// Pause is the longest pause between two events that the route allows, zero when it is
+	// unknown.
+	Pause time.Duration
+	// Whole says that the objective is for the end of the response, not its first event.
+	Whole bool
 	// Avoid is the ID of an endpoint that the request was sent to before, or empty.
 	Avoid string
 	// Client is the name of the entry that sends the request; empty for this one.
@@ -128,6 +135,17 @@
 	holdSeconds float64
 	// wakeScheduled says that a call of assign is scheduled.
 	wakeScheduled bool
+	// adaptiveSet says that the configuration asks for the adaptive mode, statedAt when an
+	// endpoint last stated how long its work takes.
+	adaptiveSet bool
+	statedAt    time.Time
+	// model has the measured times of its requests.
+	model *timeModel
+	// passed counts the waiting requests that place has passed over, by tier. They leave
+	// the slots that are free now to others.
+	passed map[int]int
+	// options is the buffer of place.
+	options []option
 }
 
 // waiter is a waiting request.
@@ -137,6 +155,8 @@
 	arrived time.Time
 	// granted receives one grant. It is closed when the request expires in the queue.
 	granted chan *Grant
+	// passedOver says that it has waited for a better slot than it could have.
+	passedOver bool
 }
 
 // Scheduler assigns requests to endpoints. It is safe for concurrent use.
@@ -348,6 +368,10 @@
 		s.updateLimiter(e, limits, now)
 		e.setFreeSlots(s.freeSlots(v, e, now), now)
 	}
+	if v.adaptive(now) {
+		s.place(v, now)
+		return
+	}
 	var deferred []queue.Item[*waiter]
 	for v.waiting.Len() > 0 && len(deferred) < maxDeferred {
 		candidates, next := s.availableSlots(v, now)
@@ -371,16 +395,25 @@
 
 // grant gives a request a slot of one of the candidates. It is called with mu held.
 func (s *Scheduler) grant(v *service, w *waiter, candidates map[*endpoint]int, now time.Time) {
-	e := s.choose(v, w.request, candidates, now)
-	g := &Grant{Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, client: w.request.Client, grantedAt: now}
+	w.granted <- s.grantSlot(v, w, s.choose(v, w.request, candidates, now), len(candidates), now)
+}
+
+// grantSlot takes a slot of an endpoint for a request, when that many endpoints had one that
+// this entry was allowed to take. It is called with mu held.
+func (s *Scheduler) grantSlot(v *service, w *waiter, e *endpoint, available int, now time.Time) *Grant {
+	own, peers := e.load(), s.peerLoads[e.ID]
+	g := &Grant{
+		Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, client: w.request.Client, grantedAt: now,
+		promptAhead: own.Prompt + peers.Prompt, output: w.request.Output, pause: w.request.Pause, tier: w.request.Tier, whole: w.request.Whole,
+	}
 	g.Choice = Choice{
-		Own: len(e.grants), Peers: s.peerLoads[e.ID].Requests,
-		Pace: time.Duration(e.paceSeconds * float64(time.Second)), Free: len(candidates),
+		Own: own.Requests, Peers: peers.Requests,
+		Pace: time.Duration(e.paceSeconds * float64(time.Second)), Free: available,
 	}
 	e.grants[g] = struct{}{}
 	e.limiter.take(now)
 	e.setFreeSlots(s.freeSlots(v, e, now), now)
-	w.granted <- g
+	return g
 }
 
 // scheduleAssign calls assign after a delay, unless the delay is zero or an earlier
@@ -457,6 +490,8 @@
 			endpoints:   map[string]*endpoint{},
 			health:      health.New(),
 			holdSeconds: initialHold.Seconds(),
+			model:       newTimeModel(),
+			passed:      map[int]int{},
 		}
 		s.services[name] = v
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -220,7 +220,7 @@
 		time.Sleep(2 * time.Second)
 		_, refusal := s.Acquire(context.Background(), request(0))
 		require.NotNil(t, refusal)
-		g.Started()
+		g.Started(fleet.StatedLoad{})
 		acquire(t, s, request(0))
 	})
 }
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -14,6 +14,8 @@
 	// paceSeconds is the moving average of the time between events of its answers;
 	// zero when unknown.
 	paceSeconds float64
+	// stated estimates how long work takes there from what it states.
+	stated fleet.LoadEstimate
 	// failureRate is the moving average of the share of requests that it answered
 	// with a failure.
 	failureRate float64
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -36,6 +36,13 @@
 	// Free is the number of endpoints with a slot that this entry was allowed to
 	// take.
 	Free int
+	// Percent is how long work took there, 100 as usual; zero when the choice was not made
+	// by expected times.
+	Percent int
+	// Factor is what decided between the endpoint and the next best, Waited says that the
+	// request passed a slot over before.
+	Factor Factor
+	Waited bool
 }
 
 // Grant is a slot at an endpoint, held for one attempt. It is used by one goroutine
@@ -51,19 +58,52 @@
 	prompt    int
 	client    string
 	grantedAt time.Time
+	// promptAhead is the number of prompt tokens that were to be processed before.
+	promptAhead int
+	// output, pause and tier are those of the request.
+	output int
+	pause  time.Duration
+	tier   int
+	// whole says that the objective is for the end of the response.
+	whole bool
+	// stated says that what the response states of the load is known; the message about its
+	// end repeats that about its start, which may be lost.
+	stated bool
+	// startedAt is the time of the first byte.
+	startedAt time.Time
 	// started says that the first byte of the answer has been received.
 	started bool
 	done    bool
 }
 
-// Started records that the first byte of the answer has been received.
-func (g *Grant) Started() {
-	g.scheduler.mu.Lock()
+// Started records that the first byte of the answer has been received, and what the answer
+// states of the load of the endpoint.
+func (g *Grant) Started(load fleet.StatedLoad) {
+	s := g.scheduler
+	s.mu.Lock()
+	g.state(load)
+	g.measureFirst(s.clock.Now())
 	g.started = true
-	g.scheduler.mu.Unlock()
+	s.mu.Unlock()
 	g.scheduler.onChange(false)
 }
 
+// Stated records what an answer states of the load of the endpoint, if Started was not
+// called with it.
+func (g *Grant) Stated(load fleet.StatedLoad) {
+	g.scheduler.mu.Lock()
+	defer g.scheduler.mu.Unlock()
+	g.state(load)
+}
+
+// state is Stated with mu held.
+func (g *Grant) state(load fleet.StatedLoad) {
+	if e := g.service.endpoints[g.Endpoint.ID]; e != nil && !g.stated && load.Valid().Percent > 0 {
+		g.stated = true
+		g.service.addStated(e, load, g.scheduler.clock.Now())
+	}
+}
+
 // Done releases the slot. pace is the mean time between events of the answer, zero
 // when it is unknown. Calls after the first have no effect.
 func (g *Grant) Done(result Result, pace time.Duration) {
@@ -93,6 +133,7 @@
 		e.failureRate -= smoothing * e.failureRate
 		v.health.RecordAnswer(e.ID, 0, now)
 		v.holdSeconds += smoothing * (now.Sub(g.grantedAt).Seconds() - v.holdSeconds)
+		g.measureEnd(e, now)
 		if pace > 0 {
 			e.updatePace(pace.Seconds())
 		}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -203,7 +203,7 @@
 	e := engines[g.Endpoint.ID]
 	e.slots <- struct{}{}
 	time.Sleep(time.Duration(e.slowdown * float64(100*time.Millisecond)))
-	g.Started()
+	g.Started(fleet.StatedLoad{})
 	first := time.Since(start)
 	hold := time.Duration(durationFactor * e.slowdown * float64(k.hold))
 	time.Sleep(hold)
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -94,6 +94,9 @@
 			}
 		}
 		v.waiting.EachTier(func(rank, count int) {
+			if count -= v.passed[rank]; count <= 0 {
+				return
+			}
 			if res.Waiting[name] == nil {
 				res.Waiting[name] = map[int]int{}
 			}
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -80,30 +80,12 @@
 // all entries compute alike; the weights grow with the queue lengths. Each entry
 // has exclusive use of the slot for the duration of a turn.
 func (s *Scheduler) availableSlots(v *service, now time.Time) (available map[*endpoint]int, next time.Duration) {
-	contenders, higherWaiting := s.contenders(v, v.waiting.Highest())
+	t := s.turnsOf(v)
 	available = map[*endpoint]int{}
-	turnDuration := time.Duration(len(contenders)-1) * turnDurationPerPeer
-	if s.turns == OwnerTurns {
-		turnDuration = ownerTurnDuration
-	}
-	free := 0
-	for _, e := range v.endpoints {
-		if e.limiter == nil {
-			free += e.freeSlots
-		}
-	}
 	for _, e := range v.endpoints {
-		// The part of a limit that this entry has is of no use to others.
-		left := e.limiter == nil && (free <= higherWaiting || s.turns == OwnerTurns && s.ownerNeeds(contenders, e))
-		if e.freeSlots == 0 || left {
-			continue
-		}
-		turns := s.turnsBefore(contenders, e) / e.freeSlots
-		if s.turns == OwnerTurns && e.freeSlots == 1 {
-			turns *= lastSlotFactor
-		}
-		wait := time.Duration(turns)*turnDuration - now.Sub(e.freeSince)
+		wait, ok := s.turnWait(t, e, now)
 		switch {
+		case !ok:
 		case wait <= 0:
 			available[e] = e.freeSlots
 		case next == 0 || wait < next:
@@ -113,6 +95,45 @@
 	return available, next
 }
 
+// turnState is what the turns at all endpoints of a service follow from.
+type turnState struct {
+	contenders []contender
+	// free is the number of free slots of endpoints without limit, higherWaiting that of
+	// requests of higher tiers that wait at peers.
+	free, higherWaiting int
+	turnDuration        time.Duration
+}
+
+// turnsOf returns the state of the turns for the highest tier that waits.
+func (s *Scheduler) turnsOf(v *service) (res turnState) {
+	res.contenders, res.higherWaiting = s.contenders(v, v.waiting.Highest())
+	res.turnDuration = time.Duration(len(res.contenders)-1) * turnDurationPerPeer
+	if s.turns == OwnerTurns {
+		res.turnDuration = ownerTurnDuration
+	}
+	for _, e := range v.endpoints {
+		if e.limiter == nil {
+			res.free += e.freeSlots
+		}
+	}
+	return res
+}
+
+// turnWait returns how long it takes until this entry may take a free slot of an endpoint,
+// not above zero if it may now; ok is false if there is none for it.
+func (s *Scheduler) turnWait(t turnState, e *endpoint, now time.Time) (wait time.Duration, ok bool) {
+	// The part of a limit that this entry has is of no use to others.
+	left := e.limiter == nil && (t.free <= t.higherWaiting || s.turns == OwnerTurns && s.ownerNeeds(t.contenders, e))
+	if e.freeSlots == 0 || left {
+		return 0, false
+	}
+	turns := s.turnsBefore(t.contenders, e) / e.freeSlots
+	if s.turns == OwnerTurns && e.freeSlots == 1 {
+		turns *= lastSlotFactor
+	}
+	return time.Duration(turns)*t.turnDuration - now.Sub(e.freeSince), true
+}
+
 // ownerNeeds reports whether requests wait at another entry that has the first turn at
 // the endpoint. Such an entry leaves no slot free; one that looks free is taken, and
 // the report that says so is on its way.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -106,6 +106,8 @@
 	Evidence []frame.Evidence
 	// Limits is a part of what endpoints have said of their limits in answers to the entry.
 	Limits []fleet.LimitReport
+	// Loads is a part of what endpoints have stated of their load in answers to the entry.
+	Loads []fleet.LoadReport
 }
 
 // Peer is one incarnation of another entry.
@@ -122,7 +124,8 @@
 	// State returns the current state of this entry.
 	State() State
 	// Summary returns the current summary of this entry, with at most the given
-	// numbers of reports about crashes and about limits.
+	// numbers of reports about crashes and about limits, and as many about loads as about
+	// limits.
 	Summary(evidence, limits int) Summary
 	// ReceiveState handles the state that a peer reports.
 	ReceiveState(peer Peer, s State)
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -72,6 +72,8 @@
 	Evidence []frame.Evidence `cbor:"4,keyasint,omitempty"`
 	// Limits is what answers to the sender say of the limits of endpoints.
 	Limits []fleet.LimitReport `cbor:"5,keyasint,omitempty"`
+	// Loads is what answers to the sender state of the loads of endpoints.
+	Loads []fleet.LoadReport `cbor:"6,keyasint,omitempty"`
 }
 
 // encodeConfirmation returns the end of a datagram to a peer. It never compares the
@@ -123,7 +125,7 @@
 // newSummary returns the current summary in its wire format.
 func (x *Exchange) newSummary(listsPeers bool) *summary {
 	v := x.handler.Summary(maxEvidence, maxLimits)
-	res := &summary{Usage: v.Usage, Evidence: v.Evidence, Limits: v.Limits}
+	res := &summary{Usage: v.Usage, Evidence: v.Evidence, Limits: v.Limits, Loads: v.Loads}
 	if listsPeers {
 		res.Peers = x.listPeers()
 	}
--- a/exchange/receiver.go
+++ b/exchange/receiver.go
@@ -94,7 +94,7 @@
 	}
 	x.handler.ReceiveState(current, s)
 	if m.Summary != nil {
-		x.handler.ReceiveSummary(current, Summary{Usage: m.Summary.Usage, Evidence: m.Summary.Evidence, Limits: m.Summary.Limits})
+		x.handler.ReceiveSummary(current, Summary{Usage: m.Summary.Usage, Evidence: m.Summary.Evidence, Limits: m.Summary.Limits, Loads: m.Summary.Loads})
 	}
 	if c.validFor(x.boot, x.uptime()) {
 		x.handler.Confirm(c.Table, time.Duration(c.EchoNanos-c.AgeNanos))
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -251,6 +251,9 @@
 		Objective:    max(0, c.route.Objective-now.Sub(c.arrived)),
 		Timeout:      c.deadline.Sub(now),
 		Prompt:       c.fields.Prompt,
+		Output:       c.fields.Expected,
+		Pause:        c.route.Pause,
+		Whole:        c.route.Kind != routing.Streaming,
 		Avoid:        c.avoid,
 	})
 	c.waitTime += c.g.clock.Now().Sub(now)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -88,7 +88,10 @@
 func (h exchangeHandler) Summary(evidence, limits int) exchange.Summary {
 	g := h.g
 	now := g.clock.Now()
-	return exchange.Summary{Usage: g.quotas.Usage(), Evidence: g.evidence.Report(now, evidence), Limits: g.notices.ReportLimits("", limits, now)}
+	return exchange.Summary{
+		Usage: g.quotas.Usage(), Evidence: g.evidence.Report(now, evidence), Limits: g.notices.ReportLimits("", limits, now),
+		Loads: g.scheduler.ReportLoads(limits),
+	}
 }
 
 // ReceiveState implements exchange.Handler.
@@ -109,6 +112,7 @@
 	g.quotas.SetPeerUsage(peer.String(), s.Usage, now)
 	g.evidence.Merge(s.Evidence, now)
 	g.notices.MergeLimits(s.Limits, now)
+	g.scheduler.MergeLoads(s.Loads)
 }
 
 // ReceiveDatagram implements exchange.Handler.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"damasktrail.dev/coordinator"
+	"damasktrail.dev/fleet"
 	"damasktrail.dev/routing"
 	"damasktrail.dev/upstream"
 )
@@ -51,6 +52,10 @@
 	// which its pace is calculated.
 	attemptEvents                 int
 	firstEventTime, lastEventTime time.Time
+	// load is what the header of the last attempt's answer states of the load of its
+	// endpoint, loadAt the time at which it arrived.
+	load   fleet.StatedLoad
+	loadAt time.Time
 }
 
 // forward relays one answer. It returns nil when the complete answer was relayed,
@@ -80,7 +85,7 @@
 	if whole && r.endedByCrash(a, grant) {
 		return errEndedByCrash
 	}
-	grant.Started()
+	grant.Started(r.statedLoad())
 	r.call.timeToFirstByte = r.call.g.clock.Now().Sub(r.call.arrived)
 	if whole {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(prefix)))
@@ -151,7 +156,7 @@
 		}
 		now := r.call.g.clock.Now()
 		if r.attemptEvents == 0 {
-			grant.Started()
+			grant.Started(r.statedLoad())
 			r.firstEventTime = now
 		}
 		if !r.headerSent {
@@ -197,6 +202,15 @@
 	r.writer.WriteHeader(a.Status)
 }
 
+// statedLoad returns what the answer states of the load of its endpoint, with its age.
+func (r *relay) statedLoad() fleet.StatedLoad {
+	res := r.load
+	if res.Percent > 0 {
+		res.Age = r.call.g.clock.Now().Sub(r.loadAt)
+	}
+	return res
+}
+
 // pace returns the mean time between the events of the last attempt, zero when
 // there were too few.
 func (r *relay) pace() time.Duration {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,8 +93,11 @@
 func (c *call) send(ctx context.Context, grant *coordinator.Slot, lastEventID string) (*upstream.Answer, error) {
 	g := c.g
 	c.endpoint = grant.Endpoint.ID
+	if grant.Choice.Waited {
+		g.metrics.Count("better_turns_awaited", 1)
+	}
 	g.log.InfoContext(telemetry.Routine, "request sent", "id", c.fields.ID, "endpoint", c.endpoint, "coordinator", grant.Coordinator, "address", grant.Endpoint.Address, "send", c.sends+1, "wait", c.waitTime,
-		"own", grant.Choice.Own, "peers", grant.Choice.Peers, "pace", grant.Choice.Pace, "free", grant.Choice.Free, "after", lastEventID)
+		"own", grant.Choice.Own, "peers", grant.Choice.Peers, "pace", grant.Choice.Pace, "free", grant.Choice.Free, "percent", grant.Choice.Percent, "factor", grant.Choice.Factor.String(), "after", lastEventID)
 	header := g.dialect.Forward(c.request.Header, damasktrail.Dispatch{
 		Endpoint:     grant.Endpoint.ID,
 		Organisation: c.organisation.Name,
@@ -136,6 +139,8 @@
 	defer a.Close()
 	fields := c.g.dialect.Answer(a.Status, a.Header)
 	c.recordNotice(grant.Endpoint, fields.Notice)
+	grant.Stated(fields.Load)
+	out.load, out.loadAt = fields.Load, c.g.clock.Now()
 	if fields.NotRun {
 		return c.handleNotRun(grant, a)
 	}
