Wait longer for a better slot the more it saves, and look less often

A request now waits in proportion to what the better slot saves, up to 0.6 of its objective, and as long as it may at all where its response would probably be cut off; the chance of a late first event is counted from 0.35 of the time left. A request that was passed over is considered again when a slot of this entry is released, else after 10 ms at the latest, since reports of peers come some hundred times a second.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -144,6 +144,8 @@
 	// passed counts the waiting requests that place has passed over, by tier. They leave
 	// the slots that are free now to others.
 	passed map[int]int
+	// released says that a slot of this entry was released since the last call of place.
+	released bool
 	// options is the buffer of place.
 	options []option
 }
@@ -157,6 +159,9 @@
 	granted chan *Grant
 	// passedOver says that it has waited for a better slot than it could have.
 	passedOver bool
+	// reconsider is the time from which on place considers it again, if no slot is released
+	// before.
+	reconsider time.Time
 }
 
 // Scheduler assigns requests to endpoints. It is safe for concurrent use.
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -118,6 +118,7 @@
 		delete(e.grants, g)
 		g.updateEndpoint(e, result, pace, s.clock.Now())
 	}
+	g.service.released = true
 	s.assign(g.service)
 	s.mu.Unlock()
 	s.onChange(true)
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -18,7 +18,7 @@
 	// firstFrom and firstTo are the ratios of the expected time to the first event and the
 	// time that is left for it between which the chance to be late grows from 0 to 1.
 	// Disturbances make it up to 2.5 times as long.
-	firstFrom, firstTo = 0.5, 1.2
+	firstFrom, firstTo = 0.35, 1.0
 	// endFrom and endTo are the same for the time to the end and the deadline. The expected
 	// output is right in the median and often far off.
 	endFrom, endTo = 0.4, 1.6
@@ -29,12 +29,23 @@
 	// endpoints that are equal otherwise.
 	secondLoss = 0.02
 	// minGain is the loss that a later slot must save to be waited for.
-	minGain = 0.02
-	// maxPassedRatio is the part of its objective for which a request waits for a better
-	// slot than it can have. It is below maxWaitRatio, so that it gets one in the end.
-	maxPassedRatio = 0.4
+	minGain = 0.01
+	// maxPassedRatio is the part of its objective for which a request at most waits for a
+	// better slot than it can have: for all of it if the better slot saves fullGain, and for
+	// less if it saves less. It is below maxWaitRatio, so that the request gets a slot in
+	// the end.
+	maxPassedRatio = 0.6
+	fullGain       = 0.3
 	// maxPassedTime bounds that time, also for requests without objective.
-	maxPassedTime = 500 * time.Millisecond
+	maxPassedTime = time.Second
+	// hopelessLength is the chance to miss its deadline from which a request waits for a
+	// better slot as long as it may wait at all: a refusal in the end lets its caller try
+	// again, and the slot is not used for a response that is cut off.
+	hopelessLength = 0.5
+	// reconsiderInterval is the longest time until a request that was passed over is
+	// considered again when no slot of this entry is released. Reports of peers come some
+	// hundred times a second.
+	reconsiderInterval = 10 * time.Millisecond
 	// maxPassed bounds the requests that one call of place passes over.
 	maxPassed = 8
 	// higherTierWeight multiplies what a prompt takes from a stream for each tier that the
@@ -198,15 +209,20 @@
 	var passed []queue.Item[*waiter]
 	var next time.Duration
 	clear(v.passed)
+	released := v.released
+	v.released = false
 	v.options = s.options(v, now, v.options[:0])
 	for v.waiting.Len() > 0 && len(passed) < maxPassed && len(v.options) > 0 {
 		it, ok := v.waiting.Pop(now)
 		if !ok {
 			break
 		}
-		best, wait := s.bestOption(v, it.Value, len(passed), now)
+		best, wait := (*option)(nil), it.Value.reconsider.Sub(now)
+		if released || wait <= 0 {
+			best, wait = s.bestOption(v, it.Value, len(passed), now)
+		}
 		if best == nil || wait > 0 {
-			it.Value.passedOver = it.Value.passedOver || best != nil
+			it.Value.pass(best != nil, wait, now)
 			passed = append(passed, it)
 			v.passed[it.Request.Tier]++
 			if wait > 0 && (next == 0 || wait < next) {
@@ -215,7 +231,9 @@
 			continue
 		}
 		s.grantOption(v, it.Value, *best, now)
-		v.options = s.options(v, now, v.options[:0])
+		if v.waiting.Len() > 0 {
+			v.options = s.options(v, now, v.options[:0])
+		}
 	}
 	for _, it := range slices.Backward(passed) {
 		it.Request.Deadline = it.Value.request.Timeout - now.Sub(it.Value.arrived)
@@ -232,6 +250,15 @@
 	s.scheduleAssign(v, next)
 }
 
+// pass records that place has passed over the request, chose says that it was for a better
+// slot in that time.
+func (w *waiter) pass(chose bool, wait time.Duration, now time.Time) {
+	if chose {
+		w.passedOver = true
+		w.reconsider = now.Add(min(wait, reconsiderInterval))
+	}
+}
+
 // options appends the endpoints with free slots that this entry may take now or later.
 func (s *Scheduler) options(v *service, now time.Time, res []option) []option {
 	t := s.turnsOf(v)
@@ -263,15 +290,12 @@
 	if best == nil || soonest == nil {
 		return nil, 0
 	}
-	if !w.mayPass(now) {
-		return soonest, 0
-	}
 	loss := soonest.loss.sum()
-	if best.wait > 0 && best.loss.sum() < loss-minGain {
+	if gain := loss - best.loss.sum(); best.wait > 0 && gain > minGain && w.mayPass(soonest.loss, gain, now) {
 		best.free--
 		return best, best.wait
 	}
-	if wait, ok := s.releaseWait(v, w, loss, passed, now); ok {
+	if wait, gain := s.releaseWait(v, w, loss, passed, now); gain > minGain && w.mayPass(soonest.loss, gain, now) {
 		return soonest, wait
 	}
 	return soonest, 0
@@ -283,21 +307,25 @@
 	return x < y || x == y && a.endpoint.ID < b.endpoint.ID
 }
 
-// mayPass reports whether a request may still wait for a better slot than it can have.
-func (w *waiter) mayPass(now time.Time) bool {
+// mayPass reports whether a request may still wait for a better slot, which saves gain of the
+// loss with the one that it can have now.
+func (w *waiter) mayPass(loss losses, gain float64, now time.Time) bool {
+	if loss[LengthFactor] > hopelessLength {
+		return true
+	}
 	limit := maxPassedTime
 	if w.request.Objective > 0 {
 		limit = min(limit, time.Duration(maxPassedRatio*float64(w.request.Objective)))
 	}
-	return now.Sub(w.arrived) < limit
+	return now.Sub(w.arrived) < time.Duration(min(1, gain/fullGain)*float64(limit))
 }
 
-// releaseWait reports whether a request does better with a slot that is released soon than
-// with a loss, and returns the time until then. It counts endpoints without free slots at
-// which this entry has the first turn.
-func (s *Scheduler) releaseWait(v *service, w *waiter, loss float64, passed int, now time.Time) (wait time.Duration, ok bool) {
+// releaseWait returns the time until a slot is released that is better than one with a loss,
+// and how much it saves. It counts endpoints without free slots at which this entry has the
+// first turn.
+func (s *Scheduler) releaseWait(v *service, w *waiter, loss float64, passed int, now time.Time) (wait time.Duration, gain float64) {
 	if loss < 2*minGain {
-		return 0, false
+		return 0, 0
 	}
 	rate, least := 0.0, math.Inf(1)
 	for _, e := range v.endpoints {
@@ -314,14 +342,14 @@
 		rate /= float64(1 + len(s.peers))
 	}
 	if rate == 0 {
-		return 0, false
+		return 0, 0
 	}
 	seconds := float64(1+passed) / rate
 	wait = time.Duration(min(seconds, 1) * float64(time.Second))
 	if r := w.request; r.Objective > 0 {
 		least += lateLoss * ramp(ratio(seconds, r.Objective-now.Sub(w.arrived)), 0, 1)
 	}
-	return wait, least+secondLoss*seconds < loss-minGain
+	return wait, loss - least - secondLoss*seconds
 }
 
 // takesRequests reports whether an endpoint takes requests apart from its free slots.
