--- a/coordinator/fuzz_test.go
+++ b/coordinator/fuzz_test.go
@@ -37,9 +37,9 @@
 func FuzzReceive(f *testing.F) {
 	for kind := range 10 {
 		for _, m := range [][]any{
-			{kind, 1, 1, nil, nil, nil, 0, 0, nil, nil},
-			{kind, 1, 2, []any{"llm", true, "o", -1, -1, -1, -1, "e", [][]any{{"e", 1, -5}}, [][]any{{"e", 1, "llm", true, -1.5, 1 << 62}}}, nil, nil, 9, -1, []int{2}, []int{3}},
-			{kind, 2, 2, nil, []any{"e", "llm", "a", "d", 1, -1, 0, 0, 0, 0}, []any{"full", -5, ""}, 0, 0, nil, nil},
+			{kind, 1, 1, nil, nil, nil, 0, 0, nil, nil, 300, -1},
+			{kind, 1, 2, []any{"llm", true, "o", -1, -1, -1, -1, "e", [][]any{{"e", 1, -5}}, [][]any{{"e", 1, "llm", true, -1.5, 1 << 62}}, 1 << 62, -1, true}, nil, nil, 9, -1, []int{2}, []int{3}, -1, 1 << 62},
+			{kind, 2, 2, nil, []any{"e", "llm", "a", "d", 1, -1, 0, 0, 0, 0, 1 << 62, 99, true}, []any{"full", -5, ""}, 0, 0, nil, nil, 0, 0},
 		} {
 			b, err := cbor.Marshal(m)
 			if err != nil {
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -188,7 +189,7 @@
 		}
 		for _, e := range v.endpoints {
 			if at := e.stated.StatedAt(); !at.IsZero() && now.Sub(at) < statedRetention {
-				res = append(res, fleet.LoadReport{ID: e.ID, StartedMillis: e.StartedMillis, Percent: 100 * e.stated.Lasting()})
+				res = append(res, fleet.LoadReport{ID: e.ID, StartedMillis: e.StartedMillis, Percent: int(math.Round(100 * e.stated.Lasting()))})
 			}
 		}
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -71,8 +71,8 @@
 	// maxEvidence limits the reports about crashes in one summary, so that a report fits
 	// into one packet. A crash of eleven endpoints concerned eighty requests.
 	maxEvidence = 12
-	// maxLimits limits the reports about limits of endpoints in one summary, for the same
-	// reason.
+	// maxLimits limits the reports about limits and loads of endpoints in one summary, for
+	// the same reason.
 	maxLimits = 8
 	// maxPeers limits the memory that datagrams from unknown addresses can take.
 	maxPeers = 1024
@@ -124,9 +124,8 @@
 	// State returns the current state of this entry.
 	State() State
 	// Summary returns the current summary of this entry, with at most the given
-	// numbers of reports about crashes and about limits, and as many about loads as about
-	// limits.
-	Summary(evidence, limits int) Summary
+	// numbers of reports about crashes and of reports about limits and loads.
+	Summary(evidence, endpoints int) Summary
 	// ReceiveState handles the state that a peer reports.
 	ReceiveState(peer Peer, s State)
 	// ReceiveSummary handles the summary that a peer reports.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -166,7 +166,7 @@
 }
 
 // Guards against entries that do not discover each other through one seed, and
-// against totals that omit a peer, and against limits of endpoints that peers do not learn.
+// against totals that omit a peer, and against limits and loads of endpoints that peers do not learn.
 func TestShares(t *testing.T) {
 	seed := freeAddress(t)
 	a := start(t, "a", seed, seed)
@@ -181,6 +181,7 @@
 		n.handler.summary = exchange.Summary{
 			Usage:  quota.Usage{"o": float64(i)},
 			Limits: []fleet.LimitReport{{ID: "e", StartedMillis: 5, Service: "s", Limited: true, PerSecond: 1.5, Age: time.Duration(i)}},
+			Loads:  []fleet.LoadReport{{ID: "e", StartedMillis: 5, Percent: 68}},
 		}
 		n.handler.mu.Unlock()
 		n.Changed(true)
@@ -204,6 +205,7 @@
 	require.Equal(t, uint64(7), a.handler.states["b/1"].Table)
 	require.Equal(t, quota.Usage{"o": 2}, a.handler.summaries["c/1"].Usage)
 	require.Equal(t, c.handler.summary.Limits, a.handler.summaries["c/1"].Limits)
+	require.Equal(t, c.handler.summary.Loads, a.handler.summaries["c/1"].Loads)
 }
 
 // Guards against entries of a large fleet that do not hear of some others: when each
@@ -433,6 +435,9 @@
 	for i := range 16 {
 		a.handler.summary.Usage[fmt.Sprintf("org%05d", i)] = 1e6
 	}
+	for i := range 8 {
+		a.handler.summary.Loads = append(a.handler.summary.Loads, fleet.LoadReport{ID: fmt.Sprintf("i-%010d", i), StartedMillis: 1 << 41, Percent: 300})
+	}
 	for i := range 80 {
 		crashes := []frame.EvidenceCrash{{ID: 1 << 31, AgeMillis: 1e4}, {ID: 1 << 30, AgeMillis: 2e4}, {ID: 1 << 29, AgeMillis: 3e4}, {ID: 1 << 28, AgeMillis: 4e4}}
 		a.handler.summary.Evidence = append(a.handler.summary.Evidence, frame.Evidence{Feature: uint64(i) << 56, AnsweredMillis: 1e4, Crashes: crashes})
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -46,7 +46,7 @@
 	// ID and StartedMillis identify the process of the endpoint.
 	ID            string
 	StartedMillis int64
-	Percent       float64
+	Percent       int
 }
 
 // Process returns the process that the report is about.
@@ -82,10 +82,10 @@
 // WithReport returns the estimate after a report of another entry, which counts only while
 // this entry has heard nothing itself.
 func (l LoadEstimate) WithReport(r LoadReport) LoadEstimate {
-	if l.count > 0 || !(r.Percent >= MinPercent && r.Percent <= MaxPercent) {
+	if l.count > 0 || r.Percent < MinPercent || r.Percent > MaxPercent {
 		return l
 	}
-	return LoadEstimate{lasting: r.Percent / 100, count: reportedWeight}
+	return LoadEstimate{lasting: float64(r.Percent) / 100, count: reportedWeight}
 }
 
 // Known reports whether there is an estimate.
--- a/fleet/load_test.go
+++ b/fleet/load_test.go
@@ -40,5 +40,5 @@
 	require.True(t, l.StatedAt().IsZero())
 	l = l.With(fleet.StatedLoad{Percent: 68}, time.Unix(1, 0))
 	require.Equal(t, l, l.WithReport(fleet.LoadReport{Percent: 500}))
-	require.False(t, fleet.LoadEstimate{}.WithReport(fleet.LoadReport{Percent: 1e9}).Known())
+	require.False(t, fleet.LoadEstimate{}.WithReport(fleet.LoadReport{Percent: 1 << 40}).Known())
 }
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -85,12 +85,13 @@
 }
 
 // Summary implements exchange.Handler.
-func (h exchangeHandler) Summary(evidence, limits int) exchange.Summary {
+func (h exchangeHandler) Summary(evidence, endpoints int) exchange.Summary {
 	g := h.g
 	now := g.clock.Now()
+	loads := g.scheduler.ReportLoads(endpoints / 2)
 	return exchange.Summary{
-		Usage: g.quotas.Usage(), Evidence: g.evidence.Report(now, evidence), Limits: g.notices.ReportLimits("", limits, now),
-		Loads: g.scheduler.ReportLoads(limits),
+		Usage: g.quotas.Usage(), Evidence: g.evidence.Report(now, evidence),
+		Limits: g.notices.ReportLimits("", endpoints-len(loads), now), Loads: loads,
 	}
 }
 
