--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -85,10 +85,14 @@
 }
 
 // Summary implements exchange.Handler.
-func (h exchangeHandler) Summary(evidence, limits int) exchange.Summary {
+func (h exchangeHandler) Summary(evidence, endpoints int) exchange.Summary {
 	g := h.g
 	now := g.clock.Now()
-	return exchange.Summary{Usage: g.quotas.Usage(), Evidence: g.evidence.Report(now, evidence), Limits: g.notices.ReportLimits("", limits, now)}
+	loads := g.scheduler.ReportLoads(endpoints / 2)
+	return exchange.Summary{
+		Usage: g.quotas.Usage(), Evidence: g.evidence.Report(now, evidence),
+		Limits: g.notices.ReportLimits("", endpoints-len(loads), now), Loads: loads,
+	}
 }
 
 // ReceiveState implements exchange.Handler.
@@ -109,6 +113,7 @@
 	g.quotas.SetPeerUsage(peer.String(), s.Usage, now)
 	g.evidence.Merge(s.Evidence, now)
 	g.notices.MergeLimits(s.Limits, now)
+	g.scheduler.MergeLoads(s.Loads)
 }
 
 // ReceiveDatagram implements exchange.Handler.
