Hold requests to cold endpoints to the rate that they bear

An endpoint crashes if it gets many requests during its cold start. The entry of an endpoint, its answers and the configuration now state the cold start, and a crash or a failed connection makes an endpoint count as cold from its first success on, for the configured time, until a newer entry.

The rate is divided like a stated limit, with one saved-up request for each share. The number of shares follows from the bound. A silent entry keeps its share for ten minutes, an entry that joins while others are silent has none, and one that has just started assumes the largest number of shares, since a partition must not double the rate. Each attempt takes a token when its endpoint is chosen, also one that fails at once. Entries tell each other of endpoints that may have been restarted.

Without cold_per_s nothing changes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -124,6 +124,8 @@
 	waiting   *queue.Queue[*waiter]
 	endpoints map[string]*endpoint
 	health    *health.Group
+	// settings come from the configuration.
+	settings ServiceSettings
 	// holdSeconds is the moving average of the time that a request holds a slot.
 	holdSeconds float64
 	// wakeScheduled says that a call of assign is scheduled.
@@ -158,7 +160,12 @@
 	peerLoads map[string]Load
 	turns     Turns
 	division  division
-	lastID    uint64
+	// shares says who may send requests to cold endpoints, coldBound how many.
+	shares    shares
+	coldBound ColdBound
+	// settings has what the configuration says of services, by name.
+	settings map[string]ServiceSettings
+	lastID   uint64
 }
 
 // New returns a scheduler without endpoints for an entry in a failure domain. The
@@ -191,6 +198,7 @@
 			old = &endpoint{grants: map[*Grant]struct{}{}, draws: map[string]float64{}, lastUse: map[string]time.Time{}}
 			v.endpoints[e.ID] = old
 		}
+		old.learnEntry(e, found)
 		old.Endpoint = e
 	}
 	for _, v := range s.services {
@@ -346,6 +354,7 @@
 	}
 	for _, e := range v.endpoints {
 		s.updateLimiter(e, limits, now)
+		s.updateColdLimiter(v, e, now)
 		e.setFreeSlots(s.freeSlots(v, e, now), now)
 	}
 	var deferred []queue.Item[*waiter]
@@ -378,7 +387,7 @@
 		Pace: time.Duration(e.paceSeconds * float64(time.Second)), Free: len(candidates),
 	}
 	e.grants[g] = struct{}{}
-	e.limiter.take(now)
+	e.take(now)
 	e.setFreeSlots(s.freeSlots(v, e, now), now)
 	w.granted <- g
 }
@@ -405,9 +414,9 @@
 		return 0
 	}
 	if e.failures > 0 {
-		return e.limiter.cap(max(0, 1-len(e.grants)), now)
+		return e.cap(max(0, 1-len(e.grants)), now)
 	}
-	return e.limiter.cap(max(0, v.capacity(e)-s.inFlight(e)), now)
+	return e.cap(max(0, v.capacity(e)-s.inFlight(e)), now)
 }
 
 // choose returns the candidate that is expected to send the first byte soonest.
@@ -457,6 +466,7 @@
 			endpoints:   map[string]*endpoint{},
 			health:      health.New(),
 			holdSeconds: initialHold.Seconds(),
+			settings:    s.settings[name],
 		}
 		s.services[name] = v
 	}
--- a/dispatch/division.go
+++ b/dispatch/division.go
@@ -43,6 +43,7 @@
 	defer s.mu.Unlock()
 	s.turns = f.Turns
 	s.division = s.division.With(f, s.clock.Now())
+	s.shares = s.shares.With(f, s.clock.Now())
 }
 
 // division says among which entries limits are divided. It is immutable.
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -26,6 +26,10 @@
 	unreachable bool
 	// limiter holds back requests to it, nil while it has no limit.
 	limiter *limiter
+	// cold has what is known of its cold start, and coldLimiter holds back requests to it
+	// during one. It is nil otherwise.
+	cold        coldState
+	coldLimiter *limiter
 	// freeSlots is the number of its free slots, and freeSince the time since which
 	// there has been at least one; zero when there is none.
 	freeSlots int
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -86,6 +86,7 @@
 // updateEndpoint updates the state of the endpoint from the outcome of the attempt.
 func (g *Grant) updateEndpoint(e *endpoint, result Result, pace time.Duration, now time.Time) {
 	v := g.service
+	g.updateCold(e, result, now)
 	switch result {
 	case Answered:
 		e.lastUse[g.client] = now
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -23,13 +23,16 @@
 	// Passive says that the entry holds slots but takes none itself, since another
 	// entry grants them to it.
 	Passive bool
+	// Suspects has the IDs of endpoints that may have been restarted, according to attempts
+	// of the entry.
+	Suspects []string
 }
 
 // SetPeer replaces the report of one peer. An empty report removes the peer.
 func (s *Scheduler) SetPeer(name string, r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	empty := len(r.Loads)+len(r.Waiting)+len(r.Unreachable) == 0
+	empty := len(r.Loads)+len(r.Waiting)+len(r.Unreachable)+len(r.Suspects) == 0
 	if _, found := s.peers[name]; empty && !found {
 		return
 	}
@@ -39,6 +42,7 @@
 	for id, h := range r.Loads {
 		s.addPeerLoad(id, h)
 	}
+	s.suspectReported(s.peers[name].Suspects, r.Suspects)
 	s.backOffUnreachable(s.peers[name].Unreachable, r.Unreachable)
 	if empty {
 		delete(s.peers, name)
@@ -89,6 +93,7 @@
 			if h := e.load(); h.Requests > 0 {
 				res.Loads[id] = h
 			}
+			e.reportSuspicions(&res)
 			if e.unreachable {
 				res.Unreachable = append(res.Unreachable, id)
 			}
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -88,13 +88,13 @@
 	}
 	free := 0
 	for _, e := range v.endpoints {
-		if e.limiter == nil {
+		if !e.limited() {
 			free += e.freeSlots
 		}
 	}
 	for _, e := range v.endpoints {
 		// The part of a limit that this entry has is of no use to others.
-		left := e.limiter == nil && (free <= higherWaiting || s.turns == OwnerTurns && s.ownerNeeds(contenders, e))
+		left := !e.limited() && (free <= higherWaiting || s.turns == OwnerTurns && s.ownerNeeds(contenders, e))
 		if e.freeSlots == 0 || left {
 			continue
 		}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -29,22 +29,22 @@
 func (s *Scheduler) supply(v *service, w *waiter, now time.Time) supply {
 	res := supply{limited: true, nextToken: math.MaxInt64}
 	for _, e := range v.endpoints {
-		if e.State != fleet.Ready || w.closedFor(e, now) > 0 || e.limiter.closed() {
+		if e.State != fleet.Ready || w.closedFor(e, now) > 0 || e.closed() {
 			continue
 		}
 		if e.failures > 0 {
-			res.retried = res.retried || e.limiter == nil
+			res.retried = res.retried || !e.limited()
 			continue
 		}
 		slots := float64(v.capacity(e))
-		if e.limiter == nil {
+		if !e.limited() {
 			res.limited = false
 		} else {
-			slots = min(slots, e.limiter.perSecond()*v.holdSeconds)
-			res.nextToken = min(res.nextToken, e.limiter.wait(now))
+			slots = min(slots, e.perSecond()*v.holdSeconds)
+			res.nextToken = min(res.nextToken, e.nextToken(now))
 		}
 		res.slots += slots
-		res.free += e.limiter.cap(max(0, v.capacity(e)-s.inFlight(e)), now)
+		res.free += e.cap(max(0, v.capacity(e)-s.inFlight(e)), now)
 	}
 	return res
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -86,8 +86,11 @@
 	// Table is the version of the routing table in force, Endpoints the revision of
 	// the last change of the endpoints that the entry knows.
 	Table, Endpoints uint64
-	Dispatch         dispatch.Report
-	Leaving          bool
+	// Evacuations is the revision of the last change of the evacuated failure domains that
+	// the entry knows.
+	Evacuations uint64
+	Dispatch    dispatch.Report
+	Leaving     bool
 	// Ineligible says that the entry must not be elected as a coordinator.
 	Ineligible bool
 	// Partial says that the report carries no Dispatch.
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -55,13 +55,18 @@
 	Unreachable []string `cbor:"10,keyasint,omitempty"`
 	// Millicores is the part of a processor that the sender may use, in thousandths.
 	Millicores int `cbor:"11,keyasint,omitempty"`
-	// Partial says that Loads, Waiting and Unreachable are left out.
+	// Partial says that Loads, Waiting, Unreachable and Suspects are left out.
 	Partial bool `cbor:"12,keyasint,omitempty"`
 	// Endpoints is the revision of the last change of the endpoints that the sender
 	// knows.
 	Endpoints uint64 `cbor:"13,keyasint,omitempty"`
 	// Ineligible says that the sender must not be elected as a coordinator.
 	Ineligible bool `cbor:"14,keyasint,omitempty"`
+	// Evacuations is the revision of the last change of the evacuated failure domains that
+	// the sender knows.
+	Evacuations uint64 `cbor:"15,keyasint,omitempty"`
+	// Suspects has the IDs of endpoints that may have been restarted.
+	Suspects []string `cbor:"16,keyasint,omitempty"`
 }
 
 // summary is the wire format of Summary. Key 2 is used by earlier versions.
@@ -105,10 +110,10 @@
 func (x *Exchange) encode(s State, number uint64, kind bodyKind) ([]byte, error) {
 	m := message{
 		Name: x.self.Name, Domain: x.self.Domain, Millicores: x.self.Millicores, Boot: x.boot, Number: number,
-		Table: s.Table, Endpoints: s.Endpoints, Leaving: s.Leaving, Ineligible: s.Ineligible, Partial: !kind.full,
+		Table: s.Table, Endpoints: s.Endpoints, Evacuations: s.Evacuations, Leaving: s.Leaving, Ineligible: s.Ineligible, Partial: !kind.full,
 	}
 	if kind.full {
-		m.Waiting, m.Unreachable = s.Dispatch.Waiting, s.Dispatch.Unreachable
+		m.Waiting, m.Unreachable, m.Suspects = s.Dispatch.Waiting, s.Dispatch.Unreachable, s.Dispatch.Suspects
 		m.Loads = make(map[string][2]int, len(s.Dispatch.Loads))
 		for id, h := range s.Dispatch.Loads {
 			m.Loads[id] = [2]int{h.Requests, h.Prompt}
@@ -172,12 +177,13 @@
 		}
 	}
 	res := State{
-		Table:      m.Table,
-		Endpoints:  m.Endpoints,
-		Ineligible: m.Ineligible,
-		Dispatch:   dispatch.Report{Domain: m.Domain, Loads: make(map[string]dispatch.Load, len(m.Loads)), Waiting: m.Waiting, Unreachable: m.Unreachable},
-		Leaving:    m.Leaving,
-		Partial:    m.Partial,
+		Table:       m.Table,
+		Endpoints:   m.Endpoints,
+		Evacuations: m.Evacuations,
+		Ineligible:  m.Ineligible,
+		Dispatch:    dispatch.Report{Domain: m.Domain, Loads: make(map[string]dispatch.Load, len(m.Loads)), Waiting: m.Waiting, Unreachable: m.Unreachable, Suspects: m.Suspects},
+		Leaving:     m.Leaving,
+		Partial:     m.Partial,
 	}
 	for id, h := range m.Loads {
 		res.Dispatch.Loads[id] = dispatch.Load{Requests: min(max(0, h[0]), maxReportedRequests), Prompt: min(max(0, h[1]), maxReportedTokens)}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // State is the state that an endpoint reports.
@@ -36,6 +37,11 @@
 	// StartedMillis is the start time in Unix milliseconds, or zero if it is
 	// unknown.
 	StartedMillis int64
+	// ColdUntil is the time at which its cold start ends according to its entry; zero if it
+	// is not cold.
+	ColdUntil time.Time
+	// Revision is the revision of its entry in the directory, zero if it is unknown.
+	Revision uint64
 }
 
 // SameProcess reports whether o is the same process, not restarted. An unknown
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -39,6 +39,8 @@
 	Pause time.Duration
 	// Limit is the rate at which it takes requests of all VMs together.
 	Limit Limit
+	// Cold is how long its cold start lasts, zero if it states none.
+	Cold time.Duration
 }
 
 // News says what a notice changes in what is known of its endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,8 @@
 	lostRequests *lostRequests
 	// refusedParts has the parts of prompts that were refused when last logged.
 	refusedParts []suspect.Feature
+	// coldEndpoints has the endpoints that were cold when last logged.
+	coldEndpoints []string
 	// retryShares has the retry share of each service by name.
 	retryShares map[string]*budget.Share
 }
@@ -135,6 +137,7 @@
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
 	g.catalog = catalog.New(directory, clock, uptime, catalogFleet{g}, log, g.applySnapshot)
 	g.scheduler = dispatch.New(clock, s.Name, s.Domain, g.notices, func(urgent bool) { g.exchange.Changed(urgent) })
+	g.scheduler.SetColdBound(s.Cold)
 	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, g.notices, clock, log)
 	g.slotServer = coordinator.NewServer(g.scheduler, g.notices, clock, tasks, log, func(client string, datagram []byte) { g.exchange.Send(client, datagram) })
 	self := coordinator.Member{Name: s.Name, Domain: s.Domain, Millicores: s.Millicores}
@@ -147,6 +150,7 @@
 		m.Gauge("table_behind_seconds", "Time since a peer first reported a newer routing table than the one in force, 0 if none has.", func() float64 { return g.catalog.Behind().Seconds() }),
 		m.Gauge("refused_parts", "Parts of prompts that are refused since crashes are blamed on them.", func() float64 { return float64(len(g.evidence.Parts())) }),
 		m.Gauge("limited_endpoints", "Endpoints that limit the rate of requests, as this gateway knows.", func() float64 { return float64(len(g.notices.Limited())) }),
+		m.Gauge("cold_endpoints", "Endpoints that are, or may be, in their cold start, as this gateway knows.", func() float64 { return float64(len(g.scheduler.ColdEndpoints())) }),
 		m.Gauge("members", "Live gateways that this one knows, itself included.", func() float64 { return float64(1 + len(g.exchange.Peers())) }),
 	); err != nil {
 		return nil, err
@@ -189,11 +193,13 @@
 	g.exchange.Start(g.tasks)
 	cancel, cancelHoldings := g.clock.Subscribe(housekeepingInterval, g.tick), g.slots.Start()
 	cancelLog := g.clock.Subscribe(refusedPartsInterval, g.logRefusedParts)
+	cancelCold := g.clock.Subscribe(coldLogInterval, g.logCold)
 	g.tasks.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		cancel()
 		cancelHoldings()
 		cancelLog()
+		cancelCold()
 	})
 	g.log.Info("started", "name", g.settings.Name, "domain", g.settings.Domain, "callers", g.settings.Callers, "peers", g.settings.Peers,
 		"seeds", g.settings.Seeds, "directory", g.settings.Directory, "authenticated", false)
@@ -217,6 +223,7 @@
 		g.logQuotas(s.Table)
 		g.table = s.Table
 		g.quotas.SetTable(s.Table, g.clock.Now())
+		g.applyServices(s.Table)
 	}
 	g.scheduler.SetEndpoints(s.Endpoints)
 	g.pool.Retain(s.Endpoints)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -170,6 +170,7 @@
 func (c *call) recordNotice(e fleet.Endpoint, n fleet.Notice) {
 	g := c.g
 	news := g.notices.Add(e, n, c.sentAt, g.clock.Now())
+	g.recordCold(e, n)
 	if news.Closure {
 		if n.Leaving {
 			g.metrics.Count("endpoints_leaving", 1)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damasktrail.dev/dispatch"
 	"damasktrail.dev/setting"
 )
 
@@ -40,6 +41,11 @@
 	Revocation time.Duration
 	// Retry limits repeated requests.
 	Retry RetryBound
+	// Cold limits the requests to endpoints during their cold start.
+	Cold dispatch.ColdBound
+	// Evacuation is the time from the operator's request to evacuate a failure domain after
+	// which nothing is sent there; zero if there are no such requests.
+	Evacuation time.Duration
 }
 
 // Check returns a [*setting.Error] for the first setting that cannot be used.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -101,6 +102,11 @@
 	// Engine is set if the endpoints are model engines, which batch requests and
 	// generate answers token by token.
 	Engine bool
+	// ColdPerSecond is the number of requests per second that an endpoint bears during its
+	// cold start; zero if it has none.
+	ColdPerSecond float64
+	// ColdTime is the duration of a cold start.
+	ColdTime time.Duration
 }
 
 // Organisation is a customer with its keys and quota.
@@ -223,6 +229,9 @@
 	return s, found
 }
 
+// Services returns all services in no particular order.
+func (t *Table) Services() []Service { return slices.Collect(maps.Values(t.services)) }
+
 // RequiresKeys reports whether requests need a key. They need none if no
 // organisations are configured.
 func (t *Table) RequiresKeys() bool { return len(t.organisations) > 0 }
