--- a/dispatch/adaptive.go
+++ b/dispatch/adaptive.go
@@ -10,7 +10,7 @@
 // times: its configuration asks for it, or an endpoint has lately stated how long its work
 // takes. All other services are served as before.
 func (v *service) adaptive(now time.Time) bool {
-	return v.adaptiveSet || !v.statedAt.IsZero() && now.Sub(v.statedAt) < statedRetention
+	return v.adaptiveSet || v.settings.ColdPerSecond > 0 || !v.statedAt.IsZero() && now.Sub(v.statedAt) < statedRetention
 }
 
 // SetAdaptive sets whether the configuration asks for the adaptive mode of a service.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -354,7 +354,7 @@
 
 // takesRequests reports whether an endpoint takes requests apart from its free slots.
 func (s *Scheduler) takesRequests(v *service, e *endpoint, now time.Time) bool {
-	return e.State == fleet.Ready && !now.Before(e.backoffUntil) && e.failures == 0 && e.limiter == nil && !v.health.Ejected(e.ID, now) && !e.stalled(now)
+	return e.State == fleet.Ready && !now.Before(e.backoffUntil) && e.failures == 0 && !e.limited() && !v.health.Ejected(e.ID, now) && !e.stalled(now)
 }
 
 // grantOption gives a request a slot of the best option.
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -112,7 +112,7 @@
 		res.turnDuration = ownerTurnDuration
 	}
 	for _, e := range v.endpoints {
-		if e.limiter == nil {
+		if !e.limited() {
 			res.free += e.freeSlots
 		}
 	}
@@ -123,7 +123,7 @@
 // not above zero if it may now; ok is false if there is none for it.
 func (s *Scheduler) turnWait(t turnState, e *endpoint, now time.Time) (wait time.Duration, ok bool) {
 	// The part of a limit that this entry has is of no use to others.
-	left := e.limiter == nil && (t.free <= t.higherWaiting || s.turns == OwnerTurns && s.ownerNeeds(t.contenders, e))
+	left := !e.limited() && (t.free <= t.higherWaiting || s.turns == OwnerTurns && s.ownerNeeds(t.contenders, e))
 	if e.freeSlots == 0 || left {
 		return 0, false
 	}
