Take no single lost answer for a restart of its endpoint

Only a refused connection or a closed port now makes an endpoint suspected of a restart; TestLostAnswerIsNoColdStart guards it.

The played load counted arrivals after the end of the cold start at 40 s: a trace of a run with 13 arrivals in a second shows seven of them between 40.03 and 40.06 s. It now counts those that arrive during the cold start.

--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -138,20 +138,21 @@
 }
 
 // updateCold updates what is known of a cold start from the outcome of an attempt at the
-// endpoint.
+// endpoint. A broken answer alone is no sign of a restart: the entry looks whether the port is
+// closed, and reports a crash as [Unreachable].
 func (g *Grant) updateCold(e *endpoint, result Result, now time.Time) {
 	if g.Endpoint.Process() != e.Process() {
 		return
 	}
 	switch result {
-	case Broken, Unreachable:
+	case Unreachable:
 		g.service.suspectCold(e, true, now)
 	case Answered:
 		if since := e.cold.suspectSince; !since.IsZero() && g.grantedAt.After(since) {
 			e.cold.suspectSince, e.cold.observed = time.Time{}, false
 			e.cold.until = now.Add(g.service.settings.ColdTime)
 		}
-	case Cancelled, Full, Failed:
+	case Broken, Cancelled, Full, Failed:
 	}
 }
 
--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -72,7 +72,7 @@
 			list = list.With(e)
 		}
 		isCold := func(since time.Duration) bool {
-			return l.crashAt == 0 || since >= l.crashAt && since < l.crashAt+crashTime+coldTime
+			return l.crashAt == 0 && since < coldLoadDuration || l.crashAt > 0 && since >= l.crashAt && since < l.crashAt+crashTime+coldTime
 		}
 		var mu sync.Mutex
 		entries := make([]*dispatch.Scheduler, l.entries)
@@ -320,7 +320,7 @@
 // restarted, and against one that stays cold for longer than its cold start.
 func TestColdAfterCrash(t *testing.T) {
 	newCold(t, withCold(0, 3), func(s *dispatch.Scheduler) {
-		acquire(t, s, request(0)).Done(dispatch.Broken, 0)
+		acquire(t, s, request(0)).Done(dispatch.Unreachable, 0)
 		require.Equal(t, []string{"e0"}, s.ColdEndpoints())
 		require.Equal(t, []string{"e0"}, s.Report().Suspects)
 		time.Sleep(time.Minute)
@@ -333,6 +333,16 @@
 	})
 }
 
+// Guards against the throttling of endpoints that live and only lose single answers: half of
+// a service that reset one connection in twenty was held to its cold rate.
+func TestLostAnswerIsNoColdStart(t *testing.T) {
+	newCold(t, withCold(0, 3), func(s *dispatch.Scheduler) {
+		acquire(t, s, request(0)).Done(dispatch.Broken, 0)
+		require.Empty(t, s.ColdEndpoints())
+		require.Empty(t, s.Report().Suspects)
+	})
+}
+
 // Guards against an entry that is never told that an endpoint works again because it has no
 // share and makes no attempts.
 func TestSuspicionWithoutShareEnds(t *testing.T) {
