Send nothing to a failure domain that the operator evacuates

The operator's request is a key of the store. A gateway that follows the list of endpoints reads the evacuations before it uses any endpoint, then watches them; others make no call and get slots from those that do. The wait of a watch leaves two seconds of the bound for a watch that dies and a read that is lost. Reports to peers carry the revision of the last change, so that an entry that is behind reads again, and a process that was suspended sends nothing until a call for the evacuations has ended. While the store does not answer, the last known state applies.

Requests that run in the domain end as usual. Waiting ones go elsewhere, or are refused at once if the service has no other endpoint. Evacuated endpoints do not count in the estimate of the wait.

Without bounds.evacuation_ms no call is made.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -77,6 +77,10 @@
 	Endpoints fleet.List
 	// Listed reports whether a list of endpoints has been read.
 	Listed bool
+	// Evacuated has the failure domains to which nothing may be sent, sorted. It is
+	// complete if EvacuationsKnown is set; otherwise no endpoint may be used.
+	Evacuated        []string
+	EvacuationsKnown bool
 }
 
 // Catalog holds the newest snapshot. It is safe for concurrent use.
@@ -111,7 +115,8 @@
 	endpointsFailedAt time.Duration
 	// turnedAway says that the directory does not answer this entry although it answers
 	// a peer.
-	turnedAway atomic.Bool
+	turnedAway  atomic.Bool
+	evacuations evacuations
 
 	// hintMu guards the fields up to mu.
 	hintMu sync.Mutex
@@ -154,7 +159,7 @@
 	}
 	res.tableRereads = newRereads(clock, func() bool { return res.Behind() > 0 })
 	res.endpointsRereads = newRereads(clock, res.endpointsBehind)
-	res.current.Store(&Snapshot{})
+	res.current.Store(&Snapshot{EvacuationsKnown: true})
 	return res
 }
 
@@ -163,6 +168,9 @@
 	c.tasks = tasks
 	tasks.Go(c.followTable)
 	tasks.Go(c.followEndpoints)
+	if c.evacuations.bound > 0 {
+		tasks.Go(c.followEvacuations)
+	}
 	tasks.Go(c.confirmWhenDue)
 }
 
--- a/directory.go
+++ b/directory.go
@@ -85,4 +85,25 @@
 	// WatchEndpoints waits for changes newer than w.After. It returns the same errors
 	// as WatchTable.
 	WatchEndpoints(ctx context.Context, w Watch) (EndpointUpdate, error)
+	// Evacuations returns all failure domains that are evacuated.
+	Evacuations(ctx context.Context) (EvacuationUpdate, error)
+	// WatchEvacuations waits for changes newer than w.After. It returns the same errors
+	// as WatchTable.
+	WatchEvacuations(ctx context.Context, w Watch) (EvacuationUpdate, error)
+}
+
+// EvacuationChange describes an evacuation that has begun or ended.
+type EvacuationChange struct {
+	// Domain is the failure domain to which nothing is to be sent. It is not empty.
+	Domain string
+	Ended  bool
+}
+
+// EvacuationUpdate is the result of a read or watch of the evacuations.
+type EvacuationUpdate struct {
+	// Changes has all evacuations after a read, or the changes in order after a watch.
+	Changes []EvacuationChange
+	// Revision is the revision from which a watch continues, Changed that of the last
+	// change of an entry of the answer.
+	Revision, Changed uint64
 }
--- a/dispatch/closure.go
+++ b/dispatch/closure.go
@@ -26,7 +26,7 @@
 // false if none will.
 func (v *service) shortestClosure(w *waiter, now time.Time) (res time.Duration, known bool) {
 	for _, e := range v.endpoints {
-		if e.State != fleet.Ready || e.closed() {
+		if !e.usable() || e.closed() {
 			continue
 		}
 		remaining := w.closedFor(e, now)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -165,7 +165,11 @@
 	coldBound ColdBound
 	// settings has what the configuration says of services, by name.
 	settings map[string]ServiceSettings
-	lastID   uint64
+	// evacuated has the failure domains to which nothing is sent. evacuationsCurrent reports
+	// whether they may be relied on; nil for always.
+	evacuated          map[string]bool
+	evacuationsCurrent func() bool
+	lastID             uint64
 }
 
 // New returns a scheduler without endpoints for an entry in a failure domain. The
@@ -200,6 +204,7 @@
 		}
 		old.learnEntry(e, found)
 		old.Endpoint = e
+		s.locate(old)
 	}
 	for _, v := range s.services {
 		names := make([]string, 0, len(v.endpoints))
@@ -293,7 +298,7 @@
 	maxWait = min(max(time.Duration(maxWaitRatio*float64(r.Objective)), minWait), r.Timeout)
 	wait, known := s.estimateWait(v, w)
 	if !known {
-		return "", 0, refuse(damasktrail.ReasonNotReady, minRetryAfter, "the service %q has no endpoint that takes requests of this entry", r.Service)
+		return "", 0, refuse(damasktrail.ReasonNotReady, v.absence(), "the service %q has no endpoint that takes requests of this entry", r.Service)
 	}
 	if wait > maxWait {
 		return "", 0, refuse(damasktrail.ReasonDeadline, wait, "a place is free in %v and the request may wait %v", wait.Round(time.Millisecond), maxWait.Round(time.Millisecond))
@@ -348,6 +353,9 @@
 	for _, it := range v.waiting.Expire(now) {
 		close(it.Value.granted)
 	}
+	if s.holdsBack() {
+		return
+	}
 	limits := s.notices.Limited()
 	if len(limits) > 0 {
 		s.division = s.division.at(now)
@@ -410,7 +418,7 @@
 // freeSlots returns the number of requests that this entry may send to an endpoint
 // now.
 func (s *Scheduler) freeSlots(v *service, e *endpoint, now time.Time) int {
-	if e.State != fleet.Ready || now.Before(e.backoffUntil) || v.health.Ejected(e.ID, now) || e.stalled(now) {
+	if !e.usable() || now.Before(e.backoffUntil) || v.health.Ejected(e.ID, now) || e.stalled(now) {
 		return 0
 	}
 	if e.failures > 0 {
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -30,6 +30,8 @@
 	// during one. It is nil otherwise.
 	cold        coldState
 	coldLimiter *limiter
+	// evacuated says that nothing is sent to its failure domain.
+	evacuated bool
 	// freeSlots is the number of its free slots, and freeSince the time since which
 	// there has been at least one; zero when there is none.
 	freeSlots int
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"damasktrail.dev/fleet"
 )
 
 // maxEstimate is the longest wait that is estimated.
@@ -29,7 +27,7 @@
 func (s *Scheduler) supply(v *service, w *waiter, now time.Time) supply {
 	res := supply{limited: true, nextToken: math.MaxInt64}
 	for _, e := range v.endpoints {
-		if e.State != fleet.Ready || w.closedFor(e, now) > 0 || e.closed() {
+		if !e.usable() || w.closedFor(e, now) > 0 || e.closed() {
 			continue
 		}
 		if e.failures > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,7 @@
 	g.catalog = catalog.New(directory, clock, uptime, catalogFleet{g}, log, g.applySnapshot)
 	g.scheduler = dispatch.New(clock, s.Name, s.Domain, g.notices, func(urgent bool) { g.exchange.Changed(urgent) })
 	g.scheduler.SetColdBound(s.Cold)
+	g.followEvacuations()
 	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, g.notices, clock, log)
 	g.slotServer = coordinator.NewServer(g.scheduler, g.notices, clock, tasks, log, func(client string, datagram []byte) { g.exchange.Send(client, datagram) })
 	self := coordinator.Member{Name: s.Name, Domain: s.Domain, Millicores: s.Millicores}
@@ -150,6 +151,7 @@
 		m.Gauge("table_behind_seconds", "Time since a peer first reported a newer routing table than the one in force, 0 if none has.", func() float64 { return g.catalog.Behind().Seconds() }),
 		m.Gauge("refused_parts", "Parts of prompts that are refused since crashes are blamed on them.", func() float64 { return float64(len(g.evidence.Parts())) }),
 		m.Gauge("limited_endpoints", "Endpoints that limit the rate of requests, as this gateway knows.", func() float64 { return float64(len(g.notices.Limited())) }),
+		m.Gauge("evacuated_domains", "Failure domains to which this gateway sends nothing.", func() float64 { return float64(len(g.scheduler.EvacuatedDomains())) }),
 		m.Gauge("cold_endpoints", "Endpoints that are, or may be, in their cold start, as this gateway knows.", func() float64 { return float64(len(g.scheduler.ColdEndpoints())) }),
 		m.Gauge("members", "Live gateways that this one knows, itself included.", func() float64 { return float64(1 + len(g.exchange.Peers())) }),
 	); err != nil {
@@ -225,7 +227,7 @@
 		g.quotas.SetTable(s.Table, g.clock.Now())
 		g.applyServices(s.Table)
 	}
-	g.scheduler.SetEndpoints(s.Endpoints)
+	g.scheduler.SetEndpoints(g.usableEndpoints(s))
 	g.pool.Retain(s.Endpoints)
 	g.exchange.Changed(true)
 }
@@ -252,6 +254,8 @@
 		return false, "no routing table yet"
 	case !s.Listed:
 		return false, "no list of endpoints yet"
+	case !g.catalog.EvacuationsSettled():
+		return false, "the evacuated failure domains are not known yet"
 	case !g.keysTrusted():
 		return false, "the directory has not confirmed the keys in time"
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -34,6 +34,8 @@
 	endpoints fleet.List
 	revision  uint64
 	down      bool
+	// evacuated has failure domains.
+	evacuated []string
 }
 
 func (d *fakeDirectory) update(f func()) {
@@ -290,7 +292,7 @@
 func (s *testGateway) startOnFreePorts() (tasks *group.Group, err error) {
 	s.settings = gateway.Settings{
 		Name: "entry", Domain: "d", Callers: freeAddress(s.t), Ready: freeAddress(s.t), Peers: freeAddress(s.t), Directory: "127.0.0.1:1",
-		Grace: s.grace, Revocation: 3 * time.Second, Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56},
+		Grace: s.grace, Revocation: 3 * time.Second, Evacuation: 5 * time.Second, Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56},
 	}
 	tasks = group.New(context.Background())
 	m, err := telemetry.New("gateway")
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -81,6 +81,7 @@
 		res.Table = t.Version
 	}
 	res.Endpoints, res.Ineligible = g.catalog.EndpointsChanged(), g.catalog.EndpointsStale()
+	res.Evacuations = g.catalog.EvacuationsChanged()
 	return res
 }
 
@@ -96,6 +97,7 @@
 	g := h.g
 	g.catalog.Hint(s.Table)
 	g.catalog.HintEndpoints(s.Endpoints)
+	g.catalog.HintEvacuations(s.Evacuations)
 	// A peer that sends no loads has none for this entry; those of an earlier report,
 	// from when the fleet was small, are old.
 	s.Dispatch.Passive = !g.exchange.Election().IsCoordinator(peer.Name)
