queue: Keep overdue items of a tier behind those in time

When a tier has more requests than its objectives allow, serving it in order of arrival makes all of them late. An item may now state the time from which it is overdue; from then on it is served after the items of its rank that are not and before lower ranks, and organisations share both groups alike. The model test covers groups and their counts; a test of its own checks the order.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -79,6 +79,9 @@
 	// Deadline checks use it if it is greater than the expected number, so that no
 	// prefill is spent on answers that would miss their deadline.
 	DecodeP90 int
+	// InTimeUntil is the time from which the item is overdue: it is then served after all
+	// items of its rank that are not, and before lower ranks. Zero means never.
+	InTimeUntil time.Time
 	// Ticketed marks an item that [Queue.Drain] leaves in the queue.
 	Ticketed bool
 	// Value is opaque to the queue.
@@ -126,10 +129,14 @@
 	prev, next *flow[T]
 }
 
-// tier holds the items of one rank.
+// tier holds the items of one rank that are overdue, or those that are not.
 type tier[T any] struct {
-	rank  int
-	flows map[string]*flow[T]
+	rank    int
+	overdue bool
+	// regroupAt is the earliest InTimeUntil of the items, or a time before it; zero if
+	// there is none.
+	regroupAt time.Time
+	flows     map[string]*flow[T]
 	// current is the flow to be served next; nil when the tier is empty.
 	current *flow[T]
 	// last is the newest item.
@@ -149,7 +156,7 @@
 	limits Limits
 	rates  Rates
 	shares map[string]float64
-	// tiers is sorted by rank and keeps tiers that became empty.
+	// tiers is sorted by rank, overdue items last, and keeps tiers that became empty.
 	tiers []*tier[T]
 	nodes map[string]*node[T]
 	// byLatestDispatch is a min-heap by latestDispatch.
@@ -227,9 +234,13 @@
 // EachTier calls f with the rank and the number of items of each tier that has
 // items, in order of rank.
 func (q *Queue[T]) EachTier(f func(rank, count int)) {
-	for _, t := range q.tiers {
-		if t.count > 0 {
-			f(t.rank, t.count)
+	for i, t := range q.tiers {
+		count := t.count
+		if i > 0 && q.tiers[i-1].rank == t.rank {
+			count += q.tiers[i-1].count
+		}
+		if last := i == len(q.tiers)-1 || q.tiers[i+1].rank != t.rank; last && count > 0 {
+			f(t.rank, count)
 		}
 	}
 }
@@ -273,7 +284,7 @@
 func (q *Queue[T]) Wait(r damasktrail.Request) time.Duration {
 	var res time.Duration
 	for _, t := range q.tiers {
-		if t.rank > r.Tier {
+		if !t.counts(r) {
 			break
 		}
 		tierWait := q.rates.BusyTime(t.work.Prefill, t.work.Decode)
@@ -335,6 +346,7 @@
 // first, and the organisations of a tier by deficit round robin. Items that can
 // no longer meet their deadline are skipped and returned by [Queue.Expire].
 func (q *Queue[T]) Pop(now time.Time) (Item[T], bool) {
+	q.Regroup(now)
 	for _, t := range q.tiers {
 		for t.count > 0 {
 			n := t.next()
@@ -415,9 +427,10 @@
 	*n = node[T]{
 		item: it, deadline: deadline,
 		latestDispatch: deadline.Add(-it.serviceTime(q.rates)),
-		tier:           q.tier(it.Request.Tier),
+		tier:           q.tier(it.Request.Tier, it.overdue(now)),
 	}
 	n.tier.insert(n, q.share(it.Request.Organisation))
+	n.tier.noteInTimeUntil(it.InTimeUntil)
 	q.nodes[it.ID] = n
 	heap.Push(&q.byLatestDispatch, n)
 	q.work.Prefill += it.Request.Cost.Prefill
@@ -437,11 +450,12 @@
 	return it
 }
 
-// tier returns the tier of a rank and creates it if necessary.
-func (q *Queue[T]) tier(rank int) *tier[T] {
-	i, found := slices.BinarySearchFunc(q.tiers, rank, func(t *tier[T], r int) int { return t.rank - r })
+// tier returns the tier of a rank's items that are overdue, or of those that are not, and
+// creates it if necessary.
+func (q *Queue[T]) tier(rank int, overdue bool) *tier[T] {
+	i, found := slices.BinarySearchFunc(q.tiers, rank, func(t *tier[T], r int) int { return compareTiers(t, r, overdue) })
 	if !found {
-		q.tiers = slices.Insert(q.tiers, i, &tier[T]{rank: rank, flows: make(map[string]*flow[T])})
+		q.tiers = slices.Insert(q.tiers, i, &tier[T]{rank: rank, overdue: overdue, flows: make(map[string]*flow[T])})
 	}
 	return q.tiers[i]
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -204,6 +204,39 @@
 	require.Equal(t, -1, q.Lowest())
 }
 
+func overdue(it queue.Item[int], now time.Time) bool {
+	return !it.InTimeUntil.IsZero() && !now.Before(it.InTimeUntil)
+}
+
+// Guards against overdue items that are served before items of their tier that can be in time
+// or after those of a lower tier, and against an organisation that gets more than its share of
+// them.
+func TestPopOverdue(t *testing.T) {
+	q := queue.New[int](queue.Limits{Requests: 99, Prefill: 1 << 20})
+	push := func(id, organisation string, tier int, inTime time.Duration) {
+		it := item(id, organisation, tier, 1000)
+		it.InTimeUntil = epoch.Add(inTime)
+		_, refusal := q.Push(it, epoch)
+		require.Nil(t, refusal)
+	}
+	for i := range 4 {
+		push(fmt.Sprint("a", i), "a", 1, time.Second)
+	}
+	push("b0", "b", 1, 2*time.Second)
+	push("late", "b", 1, 0)
+	push("low", "b", 2, time.Hour)
+	push("in time", "a", 1, time.Minute)
+	order := []string{}
+	for q.Len() > 0 {
+		it, ok := q.Pop(epoch.Add(3 * time.Second))
+		require.True(t, ok)
+		order = append(order, it.ID)
+	}
+	require.Equal(t, "in time", order[0])
+	require.Equal(t, "low", order[len(order)-1])
+	require.Subset(t, order[1:5], []string{"late", "b0"}, "the organisations take turns")
+}
+
 // Guards against inconsistent data structures after any sequence of operations:
 // wrong counts, totals or tier order, and evicting from a higher tier while a
 // lower one has items.
@@ -234,6 +267,9 @@
 					rapid.IntRange(0, 2).Draw(t, "tier"), rapid.IntRange(1, 400).Draw(t, "prefill"))
 				it.Request.Deadline = time.Duration(rapid.IntRange(1, 60).Draw(t, "deadline")) * time.Second
 				it.Ticketed = rapid.Bool().Draw(t, "ticketed")
+				if rapid.Bool().Draw(t, "objective") {
+					it.InTimeUntil = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "in time")) * time.Second)
+				}
 				below := 0
 				for _, w := range model {
 					if w.Request.Tier > it.Request.Tier {
@@ -258,6 +294,9 @@
 					drop(q.Expire(now))
 					for _, w := range model {
 						require.GreaterOrEqual(t, w.Request.Tier, it.Request.Tier)
+						if w.Request.Tier == it.Request.Tier && overdue(it, now) {
+							require.True(t, overdue(w, now), "served before one that can be in time")
+						}
 					}
 				}
 			},
@@ -281,6 +320,17 @@
 				require.Equal(t, len(model), q.Len())
 				require.Equal(t, sum, q.Work().Prefill)
 				require.Equal(t, lowest(), q.Lowest())
+				require.Len(t, q.Items(), q.Len())
+				q.Regroup(now)
+				counts := map[string]int{}
+				for _, it := range model {
+					counts[fmt.Sprint(it.Request.Tier, overdue(it, now))]++
+				}
+				q.EachGroup(func(rank int, overdue bool, count int) {
+					require.Equal(t, counts[fmt.Sprint(rank, overdue)], count)
+					delete(counts, fmt.Sprint(rank, overdue))
+				})
+				require.Empty(t, counts)
 			},
 		})
 	})
