dispatch: Admit by deadline and forecast where adaptive

A request that would wait for more than 0.7 of its objective was refused, also where a late answer was possible, and its caller came back into the same burst. In an adaptive service, requests that can be in time now go first in their tier; others wait for as long as an answer before their deadline is likely, by the backlog and the arrival rates of their own and higher tiers. Requests that were admitted only for the time in which they can be in time are evaluated again at its end, and all of them when the supply shrinks. Retry-After follows from the backlog, spread over the capacity that is left. Services that are not adaptive are served as before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -128,6 +128,12 @@
 	holdSeconds float64
 	// wakeScheduled says that a call of assign is scheduled.
 	wakeScheduled bool
+	// adaptiveConfigured is set by SetAdaptive.
+	adaptiveConfigured bool
+	// demand has the measurements of an adaptive service.
+	demand demand
+	// lastSlots is the supply at the last evaluation of the waiting requests.
+	lastSlots float64
 }
 
 // waiter is a waiting request.
@@ -137,6 +143,8 @@
 	arrived time.Time
 	// granted receives one grant. It is closed when the request expires in the queue.
 	granted chan *Grant
+	// refusal is set before granted is closed for a request that was refused as it waited.
+	refusal *damasktrail.Refusal
 }
 
 // Scheduler assigns requests to endpoints. It is safe for concurrent use.
@@ -199,6 +207,7 @@
 			names = append(names, id)
 		}
 		v.health.SetAgents(names)
+		s.reevaluate(v)
 		s.assign(v)
 	}
 }
@@ -237,6 +246,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, v := range s.services {
+		s.reevaluate(v)
 		s.assign(v)
 	}
 }
@@ -262,17 +272,22 @@
 	default:
 	}
 	s.onChange(false)
-	expired := make(chan struct{})
-	cancel := s.clock.Schedule(maxWait, func(time.Time) { close(expired) })
-	defer cancel()
-	select {
-	case g := <-w.granted:
-		if g != nil {
-			s.onChange(true)
-			return g, nil
+	for maxWait > 0 {
+		expired := make(chan struct{})
+		cancel := s.clock.Schedule(maxWait, func(time.Time) { close(expired) })
+		maxWait = 0
+		select {
+		case g := <-w.granted:
+			if g != nil {
+				cancel()
+				s.onChange(true)
+				return g, nil
+			}
+		case <-expired:
+			maxWait = s.prolong(v, w, id)
+		case <-ctx.Done():
 		}
-	case <-expired:
-	case <-ctx.Done():
+		cancel()
 	}
 	return s.abandon(ctx, v, w, id)
 }
@@ -281,6 +296,9 @@
 // ID of the request in the queue and the time that it may wait. It is called with
 // mu held.
 func (s *Scheduler) enqueue(v *service, w *waiter) (id string, maxWait time.Duration, refusal *damasktrail.Refusal) {
+	if v.adaptive(s.clock.Now()) {
+		return s.admit(v, w)
+	}
 	r := w.request
 	maxWait = min(max(time.Duration(maxWaitRatio*float64(r.Objective)), minWait), r.Timeout)
 	wait, known := s.estimateWait(v, w)
@@ -310,6 +328,7 @@
 	s.mu.Lock()
 	_, waited := v.waiting.Remove(id)
 	wait, _ := s.estimateWait(v, w)
+	refusal := s.late(v, w, id)
 	s.mu.Unlock()
 	s.onChange(!waited)
 	if !waited {
@@ -324,6 +343,9 @@
 	if ctx.Err() != nil {
 		return nil, refuse(damasktrail.ReasonCancelled, 0, "the caller left while the request waited")
 	}
+	if refusal != nil {
+		return nil, refusal
+	}
 	return nil, refuse(damasktrail.ReasonDeadline, wait, "no place was free in time")
 }
 
@@ -355,6 +377,9 @@
 			s.scheduleAssign(v, next)
 			break
 		}
+		if s.reserves(v, candidates, now) {
+			break
+		}
 		it, ok := v.waiting.Pop(now)
 		if !ok {
 			break
@@ -373,6 +398,7 @@
 func (s *Scheduler) grant(v *service, w *waiter, candidates map[*endpoint]int, now time.Time) {
 	e := s.choose(v, w.request, candidates, now)
 	g := &Grant{Endpoint: e.Endpoint, scheduler: s, service: v, prompt: w.request.Prompt, client: w.request.Client, grantedAt: now}
+	g.tier = w.request.Tier
 	g.Choice = Choice{
 		Own: len(e.grants), Peers: s.peerLoads[e.ID].Requests,
 		Pace: time.Duration(e.paceSeconds * float64(time.Second)), Free: len(candidates),
@@ -456,6 +482,7 @@
 			waiting:     queue.New[*waiter](queue.Limits{Requests: maxWaitingRequests, Prefill: math.MaxInt}),
 			endpoints:   map[string]*endpoint{},
 			health:      health.New(),
+			demand:      demand{},
 			holdSeconds: initialHold.Seconds(),
 		}
 		s.services[name] = v
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -50,6 +50,7 @@
 	service   *service
 	prompt    int
 	client    string
+	tier      int
 	grantedAt time.Time
 	// started says that the first byte of the answer has been received.
 	started bool
@@ -60,6 +61,7 @@
 func (g *Grant) Started() {
 	g.scheduler.mu.Lock()
 	g.started = true
+	g.recordFirst(g.scheduler.clock.Now())
 	g.scheduler.mu.Unlock()
 	g.scheduler.onChange(false)
 }
@@ -89,6 +91,7 @@
 	switch result {
 	case Answered:
 		e.lastUse[g.client] = now
+		g.recordWhole(now)
 		e.failures, e.unreachable = 0, false
 		e.failureRate -= smoothing * e.failureRate
 		v.health.RecordAnswer(e.ID, 0, now)
