Merge waiting and refusal by forecast

The reserve of free slots for requests that can be in time moves into the choice by expected times, and slots of evacuated endpoints are not waited for.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -150,6 +150,10 @@
 	released bool
 	// options is the buffer of place.
 	options []option
+	// demand has the measurements of an adaptive service.
+	demand demand
+	// lastSlots is the supply at the last evaluation of the waiting requests.
+	lastSlots float64
 }
 
 // waiter is a waiting request.
@@ -164,6 +168,8 @@
 	// reconsider is the time from which on place considers it again, if no slot is released
 	// before.
 	reconsider time.Time
+	// refusal is set before granted is closed for a request that was refused as it waited.
+	refusal *damasktrail.Refusal
 }
 
 // Scheduler assigns requests to endpoints. It is safe for concurrent use.
@@ -237,6 +243,7 @@
 			names = append(names, id)
 		}
 		v.health.SetAgents(names)
+		s.reevaluate(v)
 		s.assign(v)
 	}
 }
@@ -275,6 +282,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, v := range s.services {
+		s.reevaluate(v)
 		s.assign(v)
 	}
 }
@@ -300,17 +308,22 @@
 	default:
 	}
 	s.onChange(false)
-	expired := make(chan struct{})
-	cancel := s.clock.Schedule(maxWait, func(time.Time) { close(expired) })
-	defer cancel()
-	select {
-	case g := <-w.granted:
-		if g != nil {
-			s.onChange(true)
-			return g, nil
+	for maxWait > 0 {
+		expired := make(chan struct{})
+		cancel := s.clock.Schedule(maxWait, func(time.Time) { close(expired) })
+		maxWait = 0
+		select {
+		case g := <-w.granted:
+			if g != nil {
+				cancel()
+				s.onChange(true)
+				return g, nil
+			}
+		case <-expired:
+			maxWait = s.prolong(v, w, id)
+		case <-ctx.Done():
 		}
-	case <-expired:
-	case <-ctx.Done():
+		cancel()
 	}
 	return s.abandon(ctx, v, w, id)
 }
@@ -319,6 +332,9 @@
 // ID of the request in the queue and the time that it may wait. It is called with
 // mu held.
 func (s *Scheduler) enqueue(v *service, w *waiter) (id string, maxWait time.Duration, refusal *damasktrail.Refusal) {
+	if v.adaptive(s.clock.Now()) {
+		return s.admit(v, w)
+	}
 	r := w.request
 	maxWait = min(max(time.Duration(maxWaitRatio*float64(r.Objective)), minWait), r.Timeout)
 	wait, known := s.estimateWait(v, w)
@@ -348,6 +364,7 @@
 	s.mu.Lock()
 	_, waited := v.waiting.Remove(id)
 	wait, _ := s.estimateWait(v, w)
+	refusal := s.late(v, w, id)
 	s.mu.Unlock()
 	s.onChange(!waited)
 	if !waited {
@@ -362,6 +379,9 @@
 	if ctx.Err() != nil {
 		return nil, refuse(damasktrail.ReasonCancelled, 0, "the caller left while the request waited")
 	}
+	if refusal != nil {
+		return nil, refusal
+	}
 	return nil, refuse(damasktrail.ReasonDeadline, wait, "no place was free in time")
 }
 
@@ -511,6 +531,7 @@
 			waiting:     queue.New[*waiter](queue.Limits{Requests: maxWaitingRequests, Prefill: math.MaxInt}),
 			endpoints:   map[string]*endpoint{},
 			health:      health.New(),
+			demand:      demand{},
 			holdSeconds: initialHold.Seconds(),
 			model:       newTimeModel(),
 			passed:      map[int]int{},
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -84,6 +84,7 @@
 	g.state(load)
 	g.measureFirst(s.clock.Now())
 	g.started = true
+	g.recordFirst(s.clock.Now())
 	s.mu.Unlock()
 	g.scheduler.onChange(false)
 }
@@ -131,6 +132,7 @@
 	switch result {
 	case Answered:
 		e.lastUse[g.client] = now
+		g.recordWhole(now)
 		e.failures, e.unreachable = 0, false
 		e.failureRate -= smoothing * e.failureRate
 		v.health.RecordAnswer(e.ID, 0, now)
