Let each coordinator use its share of the rate of cold endpoints

With coordinators, the wait was estimated from the requests that wait at all of them. A coordinator whose peers had long queues refused requests that its own tokens for cold endpoints would have served, and it waited for its turn at slots that nobody else may take. The estimate now also asks when the own tokens serve the own queue, and cold endpoints have no turns.

--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -265,6 +265,37 @@
 	e.coldLimiter.take(now)
 }
 
+// coldWait estimates how long a request waits, behind a number of own requests, if only cold
+// endpoints run them. Peers do not use the tokens of this entry.
+func (s *Scheduler) coldWait(v *service, w *waiter, ahead int, now time.Time) time.Duration {
+	rate, free, next := 0.0, 0, time.Duration(math.MaxInt64)
+	for _, e := range v.endpoints {
+		if e.coldLimiter == nil || e.closed() || !e.usable() || e.failures > 0 || w.closedFor(e, now) > 0 {
+			continue
+		}
+		rate += e.coldLimiter.bucket.Rate()
+		free += e.cap(max(0, v.capacity(e)-s.inFlight(e)), now)
+		next = min(next, e.nextToken(now))
+	}
+	behind := ahead - free
+	switch {
+	case rate == 0:
+		return maxEstimate
+	case behind < 0:
+		return 0
+	}
+	return min(maxEstimate, next+time.Duration(min(float64(behind)/rate, maxEstimate.Seconds())*float64(time.Second)))
+}
+
+// turnsIfCold returns the number of turns to wait for a slot at the endpoint. At a cold one
+// each entry has its own tokens, and few slots are taken. Waiting would only waste tokens.
+func (e *endpoint) turnsIfCold(turns int) int {
+	if e.coldLimiter != nil {
+		return 0
+	}
+	return turns
+}
+
 // perSecond returns the lowest limit of all entries together.
 func (e *endpoint) perSecond() float64 {
 	res := math.Inf(1)
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -102,6 +102,7 @@
 		if s.turns == OwnerTurns && e.freeSlots == 1 {
 			turns *= lastSlotFactor
 		}
+		turns = e.turnsIfCold(turns)
 		wait := time.Duration(turns)*turnDuration - now.Sub(e.freeSince)
 		switch {
 		case wait <= 0:
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -61,6 +61,7 @@
 			ahead += count
 		}
 	})
+	coldWait := s.coldWait(v, w, ahead, now)
 	for _, p := range s.peers {
 		for rank, count := range p.Waiting[v.name] {
 			if rank <= r.Tier {
@@ -76,5 +77,5 @@
 	if supply.limited {
 		res = max(res, supply.nextToken)
 	}
-	return res, true
+	return min(res, coldWait), true
 }
