Keep requests to the regions that the operator allows

A route and an organisation may each list regions, and the settings map failure domains to regions. The scheduler passes over endpoints of another region, as it does over those that are closed to an entry, in the choice, in the estimate of the wait and in refusals; an ask to a coordinator carries the lists at its end. A failure domain without a known region is in no list. An ask carries at most 32 regions of a list; one that is left out only restricts further.

Without lists nothing changes.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -68,6 +68,7 @@
 	Avoid          string
 	Closed         []closure
 	Limits         []fleet.LimitReport
+	Regions        [][]string
 }
 
 // closure is the wire format of a fleet.Closure. RemainingNanos is negative if the closure
@@ -107,6 +108,7 @@
 func newAsk(r dispatch.Request, limits []fleet.LimitReport) *ask {
 	res := &ask{
 		Limits:  limits,
+		Regions: boundRegions(r.Regions),
 		Service: r.Service, Engine: r.Engine, Organisation: r.Organisation, Tier: r.Tier,
 		ObjectiveNanos: int64(r.Objective), TimeoutNanos: int64(r.Timeout), Prompt: r.Prompt, Avoid: r.Avoid,
 	}
@@ -123,7 +125,7 @@
 func (a *ask) request(client string) dispatch.Request {
 	res := dispatch.Request{
 		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: max(0, a.Tier),
-		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid, Client: client,
+		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid, Client: client, Regions: a.Regions,
 	}
 	for _, c := range a.Closed[:min(len(a.Closed), maxClosures)] {
 		remaining := time.Duration(c.RemainingNanos)
--- a/dispatch/closure.go
+++ b/dispatch/closure.go
@@ -8,8 +8,12 @@
 )
 
 // closedFor returns for how long the endpoint wants no requests from the entry that sends
-// the request, zero if it wants them.
+// the request, zero if it wants them. One in a region where the request may not run never
+// wants it.
 func (w *waiter) closedFor(e *endpoint, now time.Time) time.Duration {
+	if !w.request.mayRunIn(e.region) {
+		return fleet.Forever
+	}
 	for _, c := range w.request.Closed {
 		if c.Process != e.Process() {
 			continue
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -107,6 +107,9 @@
 	Client string
 	// Closed has the endpoints that want no requests from that entry.
 	Closed []fleet.Closure
+	// Regions has lists of the regions in which the request may run. Each list applies; an
+	// empty one restricts nothing.
+	Regions [][]string
 }
 
 // WithElapsed returns the request as it is after a time has passed.
@@ -169,7 +172,9 @@
 	// whether they may be relied on; nil for always.
 	evacuated          map[string]bool
 	evacuationsCurrent func() bool
-	lastID             uint64
+	// regions has the region of each failure domain.
+	regions map[string]string
+	lastID  uint64
 }
 
 // New returns a scheduler without endpoints for an entry in a failure domain. The
--- a/dispatch/domain.go
+++ b/dispatch/domain.go
@@ -46,7 +46,7 @@
 
 // locate updates what follows from the failure domain of an endpoint.
 func (s *Scheduler) locate(e *endpoint) {
-	e.evacuated = s.evacuated[e.Domain]
+	e.evacuated, e.region = s.evacuated[e.Domain], s.regions[e.Domain]
 }
 
 // usable reports whether requests may be sent to the endpoint at all.
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -32,6 +32,8 @@
 	coldLimiter *limiter
 	// evacuated says that nothing is sent to its failure domain.
 	evacuated bool
+	// region is that of its failure domain, empty if it is unknown.
+	region string
 	// freeSlots is the number of its free slots, and freeSince the time since which
 	// there has been at least one; zero when there is none.
 	freeSlots int
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -252,6 +252,7 @@
 		Timeout:      c.deadline.Sub(now),
 		Prompt:       c.fields.Prompt,
 		Avoid:        c.avoid,
+		Regions:      c.regions(),
 	})
 	c.waitTime += c.g.clock.Now().Sub(now)
 	if refusal != nil && c.g.drained.Err() != nil && ctx.Err() == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,6 +139,7 @@
 	g.scheduler = dispatch.New(clock, s.Name, s.Domain, g.notices, func(urgent bool) { g.exchange.Changed(urgent) })
 	g.scheduler.SetColdBound(s.Cold)
 	g.followEvacuations()
+	g.scheduler.SetRegions(s.Regions)
 	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, g.notices, clock, log)
 	g.slotServer = coordinator.NewServer(g.scheduler, g.notices, clock, tasks, log, func(client string, datagram []byte) { g.exchange.Send(client, datagram) })
 	self := coordinator.Member{Name: s.Name, Domain: s.Domain, Millicores: s.Millicores}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -46,6 +46,8 @@
 	// Evacuation is the time from the operator's request to evacuate a failure domain after
 	// which nothing is sent there; zero if there are no such requests.
 	Evacuation time.Duration
+	// Regions has the region of each failure domain, as far as it is known.
+	Regions map[string]string
 }
 
 // Check returns a [*setting.Error] for the first setting that cannot be used.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -72,6 +72,8 @@
 	Anonymous bool
 	// Resume allows another endpoint to continue a stream.
 	Resume bool
+	// Regions lists the regions in which requests may run; empty for all.
+	Regions []string
 }
 
 // Repeatable reports whether a request may be sent again if it may already have
@@ -123,6 +125,8 @@
 	CountsTokens bool
 	// UncountedTokens is the cost in tokens of a request without a token count.
 	UncountedTokens float64
+	// Regions lists the regions in which requests of the organisation may run; empty for all.
+	Regions []string
 }
 
 // Limits bounds the requests of callers.
