Do not treat lost answers as restarts of an endpoint that goes on answering

A lost answer made an endpoint count as cold, at all entries, for the whole duration of a cold start. Connections that cut answers now and then would have held every endpoint to the cold rate. A lost answer and the report of a peer are now weak evidence: the suspicion ends when a request that was sent before gets its first byte more than 50 ms later, or its end two seconds later. Only a connection that could not be made is reported to peers.

--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -30,6 +30,12 @@
 	// shareRecheckInterval is the time between two calculations of the share of an endpoint
 	// when the fleet has not changed.
 	shareRecheckInterval = time.Second
+	// minSurvival is how long after the cause of a suspicion the first byte of an earlier
+	// request must arrive to show that the endpoint has not been restarted. Before that it
+	// may have been on its way. The end of an answer shows it only after
+	// minAnswerSurvival, since callers may read slowly what has long arrived.
+	minSurvival       = 50 * time.Millisecond
+	minAnswerSurvival = 2 * time.Second
 	// suspicionMargin is added to the duration of a cold start after which an entry without
 	// a share drops its suspicion. It has no attempts of its own that could end it.
 	suspicionMargin = 2 * maxBackoff
@@ -91,8 +97,8 @@
 	// suspectSince is the time since which the endpoint may have been restarted under its
 	// old ID; zero if it has answered since.
 	suspectSince time.Time
-	// observed says that the suspicion follows from an attempt of this entry. Only such a
-	// suspicion is reported to peers.
+	// observed says that the suspicion follows from a connection of this entry that could not
+	// be made. Only such a suspicion is reported to peers.
 	observed bool
 	// limiter has the tokens of this entry, nil before the first cold start. It outlives a
 	// cold start, so that a new one begins with what is left.
@@ -128,7 +134,8 @@
 	}
 }
 
-// suspectCold records that an endpoint may have been restarted.
+// suspectCold records that an endpoint may have been restarted. A lost answer and the report
+// of a peer are weak evidence, since the connection may be at fault.
 func (v *service) suspectCold(e *endpoint, observed bool, now time.Time) {
 	if e == nil || v.settings.ColdPerSecond <= 0 || v.settings.ColdTime <= 0 {
 		return
@@ -145,8 +152,9 @@
 	}
 	switch result {
 	case Broken, Unreachable:
-		g.service.suspectCold(e, true, now)
+		g.service.suspectCold(e, result == Unreachable, now)
 	case Answered:
+		g.refuteSuspicion(e, minAnswerSurvival, now)
 		if since := e.cold.suspectSince; !since.IsZero() && g.grantedAt.After(since) {
 			e.cold.suspectSince, e.cold.observed = time.Time{}, false
 			e.cold.until = now.Add(g.service.settings.ColdTime)
@@ -155,6 +163,19 @@
 	}
 }
 
+// refuteSuspicion ends a suspicion on weak evidence if the endpoint still answers, after the
+// given time, a request that was sent before.
+func (g *Grant) refuteSuspicion(e *endpoint, after time.Duration, now time.Time) {
+	if e == nil || g.Endpoint.Process() != e.Process() {
+		return
+	}
+	since := e.cold.suspectSince
+	if since.IsZero() || e.cold.observed || !g.grantedAt.Before(since) || now.Sub(since) < after {
+		return
+	}
+	e.cold.suspectSince = time.Time{}
+}
+
 // suspectReported records the suspicions that a peer newly reports. A peer that suspects
 // most endpoints of a service is probably cut off itself.
 func (s *Scheduler) suspectReported(before, now []string) {
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -60,6 +60,7 @@
 func (g *Grant) Started() {
 	g.scheduler.mu.Lock()
 	g.started = true
+	g.refuteSuspicion(g.service.endpoints[g.Endpoint.ID], minSurvival, g.scheduler.clock.Now())
 	g.scheduler.mu.Unlock()
 	g.scheduler.onChange(false)
 }
