Elect no coordinator that has not read the evacuations

A gateway that has just started and follows the store has no usable endpoint until it has read the evacuations. Elected before that, it would turn away the asks of its failure domain. It now reports itself as not eligible until its first read, as one does that the store turns away. Without bounds.evacuation_ms it is eligible as before; the tests of package gateway, which run with a bound, do not show a difference by themselves.

--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -82,6 +82,7 @@
 	}
 	res.Endpoints, res.Ineligible = g.catalog.EndpointsChanged(), g.catalog.EndpointsStale()
 	res.Evacuations = g.catalog.EvacuationsChanged()
+	res.Ineligible = res.Ineligible || !g.catalog.EvacuationsSettled()
 	return res
 }
 
