Merge regions and the rest of evacuations and cold endpoints

An adaptive service lets a request wait for at most half of its deadline: TestColdServesHighestTierFirst showed refusals after 9 s of 10, for requests that were admitted before the arrival rates were known.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -72,6 +72,7 @@
 	Avoid          string
 	Closed         []closure
 	Limits         []fleet.LimitReport
+	Regions        [][]string
 	Output         int
 	PauseNanos     int64
 	Whole          bool
@@ -118,6 +119,7 @@
 func newAsk(r dispatch.Request, limits []fleet.LimitReport) *ask {
 	res := &ask{
 		Limits:  limits,
+		Regions: boundRegions(r.Regions),
 		Service: r.Service, Engine: r.Engine, Organisation: r.Organisation, Tier: r.Tier,
 		ObjectiveNanos: int64(r.Objective), TimeoutNanos: int64(r.Timeout), Prompt: r.Prompt, Avoid: r.Avoid,
 		Output: r.Output, PauseNanos: int64(r.Pause), Whole: r.Whole,
@@ -135,7 +137,7 @@
 func (a *ask) request(client string) dispatch.Request {
 	res := dispatch.Request{
 		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: max(0, a.Tier),
-		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid, Client: client,
+		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid, Client: client, Regions: a.Regions,
 		Output: min(max(0, a.Output), maxOutput), Pause: min(max(0, time.Duration(a.PauseNanos)), maxPause), Whole: a.Whole,
 	}
 	for _, c := range a.Closed[:min(len(a.Closed), maxClosures)] {
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -13,6 +13,9 @@
 	// wait and still count as one that can be in time.
 	minInTimeRatio = 0.5
 	maxInTimeRatio = 0.9
+	// maxDeadlineRatio bounds the part of its deadline that a request may wait: a refusal
+	// later than that leaves its caller no time to come back.
+	maxDeadlineRatio = 0.5
 	// minSpareRatio is the part of the capacity that must be left by the arrivals for a
 	// prediction of when the backlog ends.
 	minSpareRatio = 0.05
@@ -111,7 +114,9 @@
 	objective := float64(r.Objective)
 	inTime = r.Objective - t.first.most()
 	inTime = max(time.Duration(minInTimeRatio*objective), min(inTime, time.Duration(maxInTimeRatio*objective)))
-	return min(inTime, r.Timeout), max(min(inTime, r.Timeout), r.Timeout-t.whole.most())
+	inTime = min(inTime, r.Timeout)
+	latest := min(r.Timeout-t.whole.most(), time.Duration(maxDeadlineRatio*float64(r.Timeout)))
+	return inTime, max(inTime, latest)
 }
 
 // admit is enqueue for an adaptive service: a request may wait for as long as an answer before
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -84,7 +84,9 @@
 	g.state(load)
 	g.measureFirst(s.clock.Now())
 	g.started = true
-	g.recordFirst(s.clock.Now())
+	now := s.clock.Now()
+	g.recordFirst(now)
+	g.refuteSuspicion(g.service.endpoints[g.Endpoint.ID], minSurvival, now)
 	s.mu.Unlock()
 	g.scheduler.onChange(false)
 }
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -131,6 +131,7 @@
 	if s.turns == OwnerTurns && e.freeSlots == 1 {
 		turns *= lastSlotFactor
 	}
+	turns = e.turnsIfCold(turns)
 	return time.Duration(turns)*t.turnDuration - now.Sub(e.freeSince), true
 }
 
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -255,6 +255,7 @@
 		Pause:        c.route.Pause,
 		Whole:        c.route.Kind != routing.Streaming,
 		Avoid:        c.avoid,
+		Regions:      c.regions(),
 	})
 	c.waitTime += c.g.clock.Now().Sub(now)
 	if refusal != nil && c.g.drained.Err() != nil && ctx.Err() == nil {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -75,6 +75,8 @@
 	// Pause is the longest pause between two events of a stream with which it is in time;
 	// zero when it is unknown.
 	Pause time.Duration
+	// Regions lists the regions in which requests may run; empty for all.
+	Regions []string
 }
 
 // Repeatable reports whether a request may be sent again if it may already have
@@ -126,6 +128,8 @@
 	CountsTokens bool
 	// UncountedTokens is the cost in tokens of a request without a token count.
 	UncountedTokens float64
+	// Regions lists the regions in which requests of the organisation may run; empty for all.
+	Regions []string
 }
 
 // Limits bounds the requests of callers.
