Bound the numbers that callers, endpoints, peers and operators state

A request that stated 10^15 prompt tokens hung each gateway and coordinator that it reached: the deficit round robin visited the flows once for each 1,024 tokens while the scheduler's mutex was held. The round robin now grants the rounds in which no flow can be served at once, so that a pop visits each flow a bounded number of times whatever the weights and shares are. Numbers get ranges where they are decoded: a request with one out of range is refused with 503 (toolarge, not run) before its body is read, a coordinator refuses such an ask, and numbers of endpoints, peers and the store count as absent or malformed. A configuration or settings file with a number out of range is malformed. Negative costs, refunds and reported usage no longer refill a quota.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -120,10 +120,32 @@
 	return res
 }
 
+const (
+	// maxTier bounds the rank of a tier. It is above that of any tier of a configuration.
+	maxTier = 1 << 20
+	// maxTimeout bounds the times in a message. It is above that of any request.
+	maxTimeout = 24 * time.Hour
+)
+
+// valid reports whether all numbers are in range. A timeout may have passed.
+func (a *ask) valid() bool {
+	return a.Tier >= 0 && a.Tier <= maxTier && a.Prompt >= 0 && a.Prompt <= damasktrail.MaxPromptTokens &&
+		a.ObjectiveNanos >= 0 && a.ObjectiveNanos <= int64(maxTimeout) && a.TimeoutNanos <= int64(maxTimeout)
+}
+
+// bounded returns a time of a message, zero if it is out of range.
+func bounded(nanos int64) time.Duration {
+	if nanos < 0 || nanos > int64(maxTimeout) {
+		return 0
+	}
+	return time.Duration(nanos)
+}
+
+// request returns the request of a valid ask.
 func (a *ask) request(client string) dispatch.Request {
 	res := dispatch.Request{
-		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: max(0, a.Tier),
-		Objective: time.Duration(a.ObjectiveNanos), Timeout: time.Duration(a.TimeoutNanos), Prompt: max(0, a.Prompt), Avoid: a.Avoid, Client: client,
+		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: a.Tier,
+		Objective: time.Duration(a.ObjectiveNanos), Timeout: max(0, time.Duration(a.TimeoutNanos)), Prompt: a.Prompt, Avoid: a.Avoid, Client: client,
 	}
 	for _, c := range a.Closed[:min(len(a.Closed), maxClosures)] {
 		remaining := time.Duration(c.RemainingNanos)
@@ -156,5 +178,5 @@
 }
 
 func (r *refusal) refusal() *damasktrail.Refusal {
-	return &damasktrail.Refusal{Reason: r.Reason, Outcome: damasktrail.NotRun, RetryAfter: time.Duration(r.RetryAfterNanos), Detail: r.Detail}
+	return &damasktrail.Refusal{Reason: r.Reason, Outcome: damasktrail.NotRun, RetryAfter: bounded(r.RetryAfterNanos), Detail: r.Detail}
 }
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -84,7 +84,7 @@
 			a.Started()
 		}
 	case kindDone:
-		s.end(client, m, m.Result, time.Duration(m.PaceNanos))
+		s.end(client, m, m.Result, bounded(m.PaceNanos))
 	case kindCancelled:
 		s.end(client, m, dispatch.Cancelled, 0)
 	case kindHoldings:
@@ -98,6 +98,12 @@
 	if m.Ask == nil {
 		return
 	}
+	if !m.Ask.valid() {
+		s.sendMessage(client, message{Kind: kindRefused, Boot: m.Boot, ID: m.ID, Refusal: &refusal{
+			Reason: damasktrail.ReasonTooLarge, Detail: "the ask has a number out of its range",
+		}})
+		return
+	}
 	now := s.clock.Now()
 	s.notices.MergeLimits(m.Ask.Limits[:min(maxLimits, len(m.Ask.Limits))], now)
 	s.mu.Lock()
--- a/dialect.go
+++ b/dialect.go
@@ -7,6 +7,17 @@
 	"damasktrail.dev/fleet"
 )
 
+// Ranges of the numbers that a request may state. The largest in use are 100,000 tokens
+// and 60 s; sums over all requests that wait in a process stay far below the range of an
+// int64.
+const (
+	// MaxPromptTokens and MaxOutputTokens bound the tokens of the prompt and of the answer.
+	MaxPromptTokens = 1 << 24
+	MaxOutputTokens = 1 << 24
+	// MaxDeadline bounds the time that a caller waits.
+	MaxDeadline = time.Hour
+)
+
 // CallFields holds the header fields of a caller's request that the scheduler
 // uses.
 type CallFields struct {
@@ -25,6 +36,9 @@
 	// SharedParts identifies the parts of the prompt that other prompts may have too,
 	// in order. Equal parts have equal values.
 	SharedParts []uint64
+	// OutOfRange is the name of a field with a number out of its range, empty if there is
+	// none. Such a request must be refused.
+	OutOfRange string
 }
 
 // Dispatch holds the values that the scheduler adds to a forwarded request.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -398,7 +398,7 @@
 	require.NoError(t, err)
 	defer conn.Close()
 	b, err := cbor.Marshal(map[int]any{
-		1: "b", 2: 1, 3: 1,
+		1: "b", 2: 1, 3: 1, 4: uint64(math.MaxUint64), 13: uint64(1<<53 + 1),
 		5: map[string][2]int{"low": {math.MinInt, -1}, "high": {math.MaxInt, math.MaxInt}},
 		6: map[string]map[int]int{"s": {0: math.MaxInt, 1: -5, 2: 3}},
 	})
@@ -408,7 +408,10 @@
 	_, err = conn.Write(append(b, tail...))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return a.handler.stateOf("b/1").Dispatch.Loads != nil }, 5*time.Second, time.Millisecond)
-	got := a.handler.stateOf("b/1").Dispatch
+	state := a.handler.stateOf("b/1")
+	require.Zero(t, state.Table, "a version out of range")
+	require.Zero(t, state.Endpoints, "a revision out of range")
+	got := state.Dispatch
 	const most = 1 << 20
 	require.Equal(t, dispatch.Load{}, got.Loads["low"])
 	require.Equal(t, dispatch.Load{Requests: most, Prompt: math.MaxInt32}, got.Loads["high"])
--- a/exchange/message.go
+++ b/exchange/message.go
@@ -161,8 +161,20 @@
 	// over peers cannot overflow.
 	maxReportedRequests = 1 << 20
 	maxReportedTokens   = math.MaxInt32
+	// maxReportedVersion bounds versions and revisions. One above it is treated as absent.
+	maxReportedVersion = 1 << 53
+	// maxMillicores bounds the part of a processor of a peer.
+	maxMillicores = 1 << 20
 )
 
+// version returns a version of a report, zero if it is out of range.
+func version(v uint64) uint64 {
+	if v > maxReportedVersion {
+		return 0
+	}
+	return v
+}
+
 // toState converts the message to the state of its sender. Numbers out of range are brought
 // into it.
 func (m message) toState() State {
@@ -172,8 +184,8 @@
 		}
 	}
 	res := State{
-		Table:      m.Table,
-		Endpoints:  m.Endpoints,
+		Table:      version(m.Table),
+		Endpoints:  version(m.Endpoints),
 		Ineligible: m.Ineligible,
 		Dispatch:   dispatch.Report{Domain: m.Domain, Loads: make(map[string]dispatch.Load, len(m.Loads)), Waiting: m.Waiting, Unreachable: m.Unreachable},
 		Leaving:    m.Leaving,
--- a/exchange/receiver.go
+++ b/exchange/receiver.go
@@ -69,7 +69,7 @@
 	p.Peer, p.reportNumber = Peer{Name: m.Name, Boot: m.Boot}, m.Number
 	p.lastHeard, p.leaving, p.silent = x.clock.Now(), s.Leaving, false
 	p.domain, p.timestampNanos = m.Domain, c.TimestampNanos
-	p.millicores, p.eligible = m.Millicores, s.eligible()
+	p.millicores, p.eligible = min(max(0, m.Millicores), maxMillicores), s.eligible()
 	x.addresses[m.Name] = from
 	x.addListedPeers(m.Summary)
 	current := p.Peer
--- a/fleet/limit.go
+++ b/fleet/limit.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // LimitKind says what an answer states about the rate at which its endpoint takes
 // requests.
@@ -45,9 +42,13 @@
 // process returns the process that the report is about.
 func (r LimitReport) process() Process { return Process{ID: r.ID, StartedMillis: r.StartedMillis} }
 
+// maxReportedLimit bounds the limits that entries report, in requests a second, so that sums
+// of limits are finite.
+const maxReportedLimit = 1e9
+
 // valid reports whether the report of another entry can be used.
 func (r LimitReport) valid() bool {
-	return r.ID != "" && r.PerSecond >= 0 && !math.IsInf(r.PerSecond, 0) && r.Age >= 0 && r.Age < noticeRetention
+	return r.ID != "" && r.PerSecond >= 0 && r.PerSecond <= maxReportedLimit && r.Age >= 0 && r.Age < noticeRetention
 }
 
 // reportMargin is subtracted from the time at which another entry is said to have heard
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -102,6 +102,8 @@
 		{ID: "a", Limited: true, PerSecond: -2},
 		{ID: "a", Limited: true, PerSecond: math.NaN()},
 		{ID: "a", Limited: true, PerSecond: math.Inf(1)},
+		{ID: "a", Limited: true, PerSecond: math.MaxFloat64},
+		{ID: "a", Limited: true, PerSecond: 1e9 + 1},
 		{ID: "a", Limited: true, PerSecond: 2, Age: -1},
 		{ID: "a", Limited: true, PerSecond: 2, Age: math.MaxInt64},
 		{ID: "a"},
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -100,6 +100,13 @@
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*call, *statusError) {
 	now := g.clock.Now()
 	c := &call{g: g, request: r, fields: g.dialect.Call(r.Header), arrived: now}
+	if c.fields.OutOfRange != "" {
+		if r.ContentLength != 0 {
+			// Otherwise the server reads the body before it sends the answer.
+			w.Header().Set("Connection", "close")
+		}
+		return c, outOfRangeError(c.fields.OutOfRange)
+	}
 	s := g.catalog.Snapshot()
 	if s.Table == nil {
 		return c, notRunError(http.StatusServiceUnavailable, damasktrail.ReasonNotReady, notReadyRetryAfter, "no routing table yet")
@@ -220,6 +227,12 @@
 	return notRunError(http.StatusServiceUnavailable, damasktrail.ReasonLeaving, after, "this entry is shutting down")
 }
 
+// outOfRangeError returns the refusal of a request with a number out of its range, which is
+// treated like one that is larger than the memory of any endpoint.
+func outOfRangeError(field string) *statusError {
+	return notRunError(http.StatusServiceUnavailable, damasktrail.ReasonTooLarge, 0, field+" has a number out of its range")
+}
+
 // poisonedError returns the refusal of a request that would crash its endpoint.
 func poisonedError() *statusError {
 	return notRunError(http.StatusServiceUnavailable, damasktrail.ReasonPoisoned, 0, "this request, or a part of its prompt, has crashed endpoints")
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -176,7 +176,8 @@
 func (q *Queue[T]) SetLimits(l Limits) { q.limits = l }
 
 // SetShares replaces the shares of the organisations. An organisation without a
-// share above zero has the share 1. The map must not change afterwards.
+// share above zero has the share 1; others are limited to the range from minShare to
+// maxShare. The map must not change afterwards.
 func (q *Queue[T]) SetShares(shares map[string]float64) {
 	q.shares = shares
 	for _, t := range q.tiers {
@@ -188,10 +189,17 @@
 	}
 }
 
+// minShare and maxShare bound the shares, so that sums of shares are finite and each share
+// counts in them.
+const (
+	minShare = 1e-3
+	maxShare = 1e6
+)
+
 // share returns the share of an organisation.
 func (q *Queue[T]) share(organisation string) float64 {
 	if s := q.shares[organisation]; s > 0 {
-		return s
+		return min(max(s, minShare), maxShare)
 	}
 	return 1
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -286,6 +288,124 @@
 	})
 }
 
+// Guards against a pop whose time grows with the stated cost of the requests, and against
+// extreme costs and shares that upset the order of others.
+func TestExtremeCosts(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		cost   damasktrail.Cost
+		shares map[string]float64
+	}{
+		{"largest honest", damasktrail.Cost{Prefill: 100_000, Decode: 100_000}, nil},
+		{"10^15", damasktrail.Cost{Prefill: 1e15}, nil},
+		{"largest", damasktrail.Cost{Prefill: math.MaxInt}, nil},
+		{"sum beyond the range", damasktrail.Cost{Prefill: math.MaxInt, Decode: math.MaxInt}, nil},
+		{"product beyond the range", damasktrail.Cost{Decode: math.MaxInt/4 + 1}, nil},
+		{"negative", damasktrail.Cost{Prefill: math.MinInt, Decode: math.MinInt}, nil},
+		{"zero", damasktrail.Cost{}, nil},
+		{"smallest share", damasktrail.Cost{Prefill: 1e15}, map[string]float64{"odd": math.SmallestNonzeroFloat64}},
+		{"largest share", damasktrail.Cost{Prefill: 1e15}, map[string]float64{"odd": math.MaxFloat64, "a": math.MaxFloat64}},
+		{"unusable shares", damasktrail.Cost{Prefill: 1e15}, map[string]float64{"odd": math.NaN(), "a": math.Inf(1)}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			q := queue.New[int](queue.Limits{Requests: 1000, Prefill: math.MaxInt})
+			q.SetShares(tt.shares)
+			for i := range 5 {
+				odd := item(fmt.Sprint("odd", i), "odd", 0, 0)
+				odd.Request.Cost = tt.cost
+				_, refusal := q.Push(odd, epoch)
+				require.Nil(t, refusal)
+				for _, organisation := range []string{"a", "b"} {
+					_, refusal = q.Push(item(fmt.Sprint(organisation, i), organisation, 0, 1500), epoch)
+					require.Nil(t, refusal)
+				}
+			}
+			popped := make(chan []string, 1)
+			go func() {
+				var res []string
+				for it, ok := q.Pop(epoch); ok; it, ok = q.Pop(epoch) {
+					res = append(res, it.ID)
+				}
+				popped <- res
+			}()
+			select {
+			case res := <-popped:
+				require.Len(t, res, 15)
+				if tt.cost.Prefill >= 1e15 && tt.shares == nil {
+					require.NotContains(t, strings.Join(res[:10], " "), "odd", "requests of usual cost wait behind one of extreme cost")
+				}
+			case <-time.After(2 * time.Second):
+				t.Fatal("pop has not returned")
+			}
+			require.Zero(t, q.Work())
+		})
+	}
+}
+
+// FuzzCosts guards against costs and shares with which a pop does not return, or loses a
+// request.
+func FuzzCosts(f *testing.F) {
+	f.Add(1500, 80, 1.0, 100_000, 0, 1.0)
+	f.Add(math.MaxInt, math.MaxInt, math.MaxFloat64, math.MinInt, -1, math.SmallestNonzeroFloat64)
+	f.Fuzz(func(t *testing.T, prefillA, decodeA int, shareA float64, prefillB, decodeB int, shareB float64) {
+		q := queue.New[int](queue.Limits{Requests: 100, Prefill: math.MaxInt})
+		q.SetShares(map[string]float64{"a": shareA, "b": shareB})
+		pushed := 0
+		for i := range 4 {
+			for _, it := range []queue.Item[int]{item(fmt.Sprint("a", i), "a", 0, prefillA), item(fmt.Sprint("b", i), "b", 0, prefillB), item(fmt.Sprint("c", i), "c", 0, 1500)} {
+				it.Request.Cost.Decode = map[string]int{"a": decodeA, "b": decodeB}[it.Request.Organisation]
+				if _, refusal := q.Push(it, epoch); refusal == nil {
+					pushed++
+				}
+			}
+		}
+		for range pushed {
+			_, ok := q.Pop(epoch)
+			require.True(t, ok)
+		}
+		require.Zero(t, q.Len())
+	})
+}
+
+// Guards against shares that depend on the number of rounds that are granted at once.
+func TestSharesOfLargeRequests(t *testing.T) {
+	q := queue.New[int](queue.Limits{Requests: 10000, Prefill: 1 << 40})
+	q.SetShares(map[string]float64{"a": 3, "b": 1})
+	for i := range 400 {
+		_, _ = q.Push(item(fmt.Sprint("a", i), "a", 0, 100_000), epoch)
+		_, _ = q.Push(item(fmt.Sprint("b", i), "b", 0, 77_000), epoch)
+		_, _ = q.Push(item(fmt.Sprint("c", i), "c", 0, 500), epoch)
+	}
+	served := map[string]int{}
+	for served["a"] < 9_000_000 {
+		it, ok := q.Pop(epoch)
+		require.True(t, ok)
+		served[it.Request.Organisation] += it.Request.Cost.Prefill
+	}
+	require.InDelta(t, 3_000_000, served["b"], 200_000)
+	require.Equal(t, 200_000, served["c"], "c was exhausted below its share")
+}
+
+// BenchmarkPopLarge measures one push and one pop of requests of 100,000 tokens.
+func BenchmarkPopLarge(b *testing.B) {
+	q := queue.New[int](queue.Limits{Requests: 20000, Prefill: 1 << 40})
+	push := func(i int) {
+		if _, refusal := q.Push(item(strconv.Itoa(i), strconv.Itoa(i%50), 0, 100_000), epoch); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+	for i := range 1000 {
+		push(i)
+	}
+	b.ReportAllocs()
+	for i := 1000; b.Loop(); i++ {
+		push(i)
+		if _, ok := q.Pop(epoch); !ok {
+			b.Fatal("queue is empty")
+		}
+	}
+}
+
 // BenchmarkPushPop measures one push and one pop with 10,000 waiting items.
 func BenchmarkPushPop(b *testing.B) {
 	q := queue.New[int](queue.Limits{Requests: 20000, Prefill: 1 << 40})
--- a/queue/tier.go
+++ b/queue/tier.go
@@ -1,16 +1,27 @@
 package queue
 
-import "damasktrail.dev"
+import (
+	"math"
+
+	"damasktrail.dev"
+)
 
 // decodeWeight is the cost of a generated token in prefill tokens. A generated
 // token costs more because an engine processes a prompt in parallel, but an
 // answer token by token.
 const decodeWeight = 4
 
+// maxWeightTokens is the largest weight of a request in prefill tokens, and the most that
+// is counted of each part of its cost. Sums of weights stay far below 2^53, above which a
+// float64 no longer represents each whole number.
+const maxWeightTokens = 1 << 36
+
 // weight returns the cost in prefill tokens that a request takes from its
-// organisation's credit.
+// organisation's credit, from 1 to maxWeightTokens.
 func weight(c damasktrail.Cost) float64 {
-	return float64(max(1, c.Prefill+decodeWeight*c.Decode))
+	prefill := min(max(0, c.Prefill), maxWeightTokens)
+	decode := min(max(0, c.Decode), maxWeightTokens)
+	return float64(min(max(1, prefill+decodeWeight*decode), maxWeightTokens))
 }
 
 // insert appends a node to the tier and to the flow of its organisation.
@@ -103,15 +114,21 @@
 	}
 }
 
-// next returns the next node by deficit round robin. The tier must not be empty.
-// Each round grants quantum tokens per flow on average, so the number of visits
-// is bounded by the tokens served, whatever the shares are.
+// credit returns the tokens that a flow receives per round: quantum on average over the
+// flows, in proportion to their shares.
+func (t *tier[T]) credit(f *flow[T]) float64 {
+	return quantum * f.share * float64(t.activeFlows) / t.totalShare
+}
+
+// next returns the next node by deficit round robin. The tier must not be empty. It visits
+// each flow a bounded number of times, so that its cost does not depend on the weights of
+// requests.
 func (t *tier[T]) next() *node[T] {
-	for {
+	for range t.activeFlows {
 		f := t.current
 		if !f.credited {
 			f.credited = true
-			f.deficit += quantum * f.share * float64(t.activeFlows) / t.totalShare
+			f.deficit += t.credit(f)
 		}
 		if f.deficit >= weight(f.first.item.Request.Cost) {
 			return f.first
@@ -119,6 +136,35 @@
 		f.credited = false
 		t.current = f.next
 	}
+	return t.skipRounds()
+}
+
+// skipRounds grants at once the credit of the rounds in which no flow can be served, and that
+// of the next round up to the first flow that can be. It makes that flow the current one and
+// returns its first node. No flow has received its credit for the current visit.
+func (t *tier[T]) skipRounds() *node[T] {
+	fewest, served := math.Inf(1), t.current
+	f := t.current
+	for range t.activeFlows {
+		missing := weight(f.first.item.Request.Cost) - f.deficit
+		if rounds := math.Ceil(missing / t.credit(f)); rounds < fewest {
+			fewest, served = rounds, f
+		}
+		f = f.next
+	}
+	rounds := fewest
+	for range t.activeFlows {
+		f.deficit += rounds * t.credit(f)
+		if f == served {
+			rounds = fewest - 1
+		}
+		f = f.next
+	}
+	// The sum may fall short by a rounding error.
+	served.deficit = max(served.deficit, weight(served.first.item.Request.Cost))
+	served.credited = true
+	t.current = served
+	return served.first
 }
 
 // dispatchHeap is a min-heap of nodes by latestDispatch.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -75,9 +75,19 @@
 	return 0.25 * burst
 }
 
+// maxCost bounds the cost of one request, in requests or tokens, and maxUsage the total of a
+// peer. Below 2^53 a float64 counts in steps of one.
+const (
+	maxCost  = 1 << 40
+	maxUsage = 1 << 52
+)
+
+// inRange reports whether a number is from zero to most.
+func inRange(x, most float64) bool { return x >= 0 && x <= most }
+
 // Admit deducts cost from the quota of an organisation for a request of a route's
 // tier. When the quota does not suffice, Admit deducts nothing and returns the time
-// until it does.
+// until it does. A cost out of range is never admitted under a quota.
 func (l *Ledger) Admit(organisation string, tier int, cost float64, now time.Time) (wait time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -85,6 +95,9 @@
 	if b == nil || b.Rate() <= 0 {
 		return 0, true
 	}
+	if !inRange(cost, maxCost) {
+		return math.MaxInt64, false
+	}
 	// A request that costs more than the burst is admitted when the bucket is full.
 	need := min(cost+reserve(tier, cost, b.Depth()), b.Depth())
 	if wait := b.Wait(need, now); wait > 0 {
@@ -99,7 +112,7 @@
 func (l *Ledger) Refund(organisation string, cost float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.buckets[organisation]; b != nil && b.Rate() > 0 {
+	if b := l.buckets[organisation]; b != nil && b.Rate() > 0 && inRange(cost, maxCost) {
 		b.Add(cost, now)
 		b.admitted -= cost
 	}
@@ -122,14 +135,14 @@
 // includes its incarnation, so that its totals fall by refunds only. The first
 // report of a peer is the baseline of later ones: usage from before this entry knew
 // the peer is offset by refill time that this entry has not counted either. Usage that is
-// not finite counts as unchanged.
+// out of range counts as unchanged.
 func (l *Ledger) SetPeerUsage(peer string, usage Usage, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before, known := l.peerUsage[peer]
 	usage = maps.Clone(usage)
 	for name, admitted := range usage {
-		if math.IsNaN(admitted) || math.IsInf(admitted, 0) {
+		if !inRange(admitted, maxUsage) {
 			usage[name] = before[name]
 		}
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -161,3 +161,39 @@
 	// 0s true
 	// 500ms false
 }
+
+// Guards against a quota that is refilled, or lost, by a number that no request or peer can
+// have.
+func TestExtremeCosts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	full := func(l *quota.Ledger) bool {
+		_, ok := l.Admit("acme", 0, 20, now)
+		return ok
+	}
+	for name, change := range map[string]func(l *quota.Ledger){
+		"negative cost":           func(l *quota.Ledger) { l.Admit("acme", 0, -20, now) },
+		"most negative cost":      func(l *quota.Ledger) { l.Admit("acme", 0, -math.MaxFloat64, now) },
+		"cost that is no number":  func(l *quota.Ledger) { l.Admit("acme", 0, math.NaN(), now) },
+		"infinite cost":           func(l *quota.Ledger) { l.Admit("acme", 0, math.Inf(1), now) },
+		"negative infinite cost":  func(l *quota.Ledger) { l.Admit("acme", 0, math.Inf(-1), now) },
+		"negative refund":         func(l *quota.Ledger) { l.Refund("acme", -20, now) },
+		"refund without number":   func(l *quota.Ledger) { l.Refund("acme", math.NaN(), now) },
+		"infinite refund":         func(l *quota.Ledger) { l.Refund("acme", math.Inf(1), now) },
+		"negative usage":          func(l *quota.Ledger) { l.SetPeerUsage("p/1", quota.Usage{"acme": -1e300}, now) },
+		"usage beyond the range":  func(l *quota.Ledger) { l.SetPeerUsage("p/1", quota.Usage{"acme": 1e300}, now) },
+		"usage that is no number": func(l *quota.Ledger) { l.SetPeerUsage("p/1", quota.Usage{"acme": math.NaN()}, now) },
+		"infinite usage":          func(l *quota.Ledger) { l.SetPeerUsage("p/1", quota.Usage{"acme": math.Inf(-1)}, now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := quota.New()
+			l.SetTable(table(t, routing.Organisation{Name: "acme", Rate: 10, Burst: 20}), now)
+			l.SetPeerUsage("p/1", quota.Usage{"acme": 5}, now)
+			_, ok := l.Admit("acme", 0, 10, now)
+			require.True(t, ok)
+			change(l)
+			require.False(t, full(l), "refilled")
+			_, ok = l.Admit("acme", 0, 9, now)
+			require.True(t, ok, "emptied")
+		})
+	}
+}
--- a/refusal.go
+++ b/refusal.go
@@ -25,7 +25,7 @@
 const (
 	ReasonUnauthorised Reason = "unauthorised" // the key is missing or unknown
 	ReasonMalformed    Reason = "malformed"    // the request cannot be parsed
-	ReasonTooLarge     Reason = "toolarge"     // the body exceeds the limit
+	ReasonTooLarge     Reason = "toolarge"     // the body exceeds the limit, or a stated number its range
 	ReasonNoModel      Reason = "nomodel"      // the document has no such model or service
 	ReasonNoKey        Reason = "nokey"        // non-idempotent request without a ticket
 	ReasonLimit        Reason = "limit"        // a limit of the organisation is reached
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -54,10 +54,10 @@
 
 // Within checks that the value is in the closed interval of low and high.
 func Within[T cmp.Ordered](flag string, value, low, high T) error {
-	if value < low || value > high {
-		return &Error{flag, fmt.Sprint(value), fmt.Sprintf("must be from %v to %v", low, high)}
+	if value >= low && value <= high {
+		return nil
 	}
-	return nil
+	return &Error{flag, fmt.Sprint(value), fmt.Sprintf("must be from %v to %v", low, high)}
 }
 
 // File checks that the value is a file that can be read.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -312,16 +312,19 @@
 	c.pool.release(c)
 }
 
+// maxKeepAliveSeconds bounds the timeout of the Keep-Alive field.
+const maxKeepAliveSeconds = 24 * 3600
+
 // keepAliveTimeout returns how long the pool may keep the connection idle: the
 // timeout of the Keep-Alive field less idleMargin, or defaultIdleTimeout if there
-// is none.
+// is none in range.
 func keepAliveTimeout(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !found {
 			continue
 		}
-		if s, err := strconv.Atoi(value); err == nil {
+		if s, err := strconv.Atoi(value); err == nil && s >= 0 && s <= maxKeepAliveSeconds {
 			return max(0, time.Duration(s)*time.Second-idleMargin)
 		}
 	}
