--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -30,6 +30,8 @@
 	mu    sync.Mutex
 	table *routing.Table
 	list  fleet.List
+	// unusable has the IDs of entries that cannot be read.
+	unusable []string
 	// revision grows with each change; tableRevision is the revision of the last
 	// change of the table.
 	revision, tableRevision uint64
@@ -100,6 +102,7 @@
 	for _, e := range d.list.All() {
 		res.Changes = append(res.Changes, damasktrail.EndpointChange{Endpoint: e})
 	}
+	res.Unusable, res.Unreadable = d.unusable, len(d.unusable)
 	return res, err
 }
 
@@ -438,6 +441,27 @@
 	})
 }
 
+// Guards against an endpoint that is kept after an outage although its entry is there and
+// cannot be read.
+func TestUnusableAfterOutage(t *testing.T) {
+	d := &fakeDirectory{list: fleet.Of(fleet.Endpoint{ID: "missing"}, fleet.Endpoint{ID: "unusable"}, fleet.Endpoint{ID: "later"}, fleet.Endpoint{ID: "sound"})}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		ids := func() (res []string) {
+			for _, e := range c.Snapshot().Endpoints.All() {
+				res = append(res, e.ID)
+			}
+			return res
+		}
+		d.update(func() {
+			d.err, d.list, d.unusable = errDown, fleet.Of(fleet.Endpoint{ID: "sound"}), []string{"unusable", "unknown"}
+		})
+		time.Sleep(2 * time.Second)
+		d.update(func() { d.err = nil })
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"later", "missing", "sound"}, ids())
+	})
+}
+
 // Guards against an endpoint that is kept after its grace because watches bring other
 // changes all the time: in a simulated day a gateway sent a request to one that had left
 // 4.1 s before, while the endpoints of its service were replaced.
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"damasktrail.dev"
@@ -181,7 +182,7 @@
 }
 
 // replace adopts a full list. After an outage, missing endpoints stay in the list
-// for missingGrace.
+// for missingGrace, but none whose entry is there and names no usable endpoint.
 func (c *Catalog) replace(news damasktrail.EndpointUpdate, outage bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -191,12 +192,20 @@
 		next = next.With(change.Endpoint)
 		delete(c.missing, change.Endpoint.ID)
 	}
+	if news.Unreadable > 0 {
+		c.log.Warn("entries of endpoints could not be read", "entries", news.Unreadable)
+	}
+	for _, id := range news.Unusable {
+		delete(c.missing, id)
+	}
 	for _, e := range s.Endpoints.All() {
 		if _, found := next.Find(e.ID); found {
 			continue
 		}
 		until, recorded := c.missing[e.ID]
 		switch {
+		case slices.Contains(news.Unusable, e.ID):
+			c.log.Info("endpoint gone", "endpoint", e.ID, "service", e.Service, "reason", "its entry cannot be read")
 		case outage && !recorded:
 			c.missing[e.ID] = now.Add(missingGrace)
 			c.log.Info("endpoint missing after an outage", "endpoint", e.ID, "grace", missingGrace)
--- a/directory.go
+++ b/directory.go
@@ -65,8 +65,11 @@
 	// read; zero after a watch.
 	Changed uint64
 	// Unreadable is the number of entries that could not be decoded. A read omits
-	// them, a watch reports them as removed.
+	// them from Changes, a watch reports them as removed.
 	Unreadable int
+	// Unusable has the IDs of these entries after a read. They are in the list, so that
+	// none of them counts as missing.
+	Unusable []string
 }
 
 // Directory provides read-only access to a published routing table and list of
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -180,7 +180,7 @@
 	for _, v := range s.services {
 		for id, e := range v.endpoints {
 			if n, found := list.Find(id); !found || !n.SameProcess(e.Endpoint) {
-				delete(v.endpoints, id)
+				s.removeEndpoint(v, e, found)
 			}
 		}
 	}
@@ -203,6 +203,17 @@
 	}
 }
 
+// removeEndpoint removes an endpoint from its service. replaced says that another process or
+// place now has its ID; then what is known of it is dropped, since that is kept by ID. It is
+// called with mu held.
+func (s *Scheduler) removeEndpoint(v *service, e *endpoint, replaced bool) {
+	delete(v.endpoints, e.ID)
+	if replaced {
+		v.health.Remove(e.ID)
+		s.notices.Replaced(e.Endpoint)
+	}
+}
+
 // Ready reports whether there is any endpoint.
 func (s *Scheduler) Ready() bool {
 	s.mu.Lock()
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -66,6 +66,12 @@
 	return res
 }
 
+// has reports whether the grant is in flight at the endpoint.
+func (e *endpoint) has(g *Grant) bool {
+	_, found := e.grants[g]
+	return found
+}
+
 // stalled reports whether a request has no first byte after firstByteTimeout.
 func (e *endpoint) stalled(now time.Time) bool {
 	for g := range e.grants {
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -74,7 +74,8 @@
 		return
 	}
 	g.done = true
-	if e := g.service.endpoints[g.Endpoint.ID]; e != nil {
+	// An endpoint that has replaced the one of the grant has not given it.
+	if e := g.service.endpoints[g.Endpoint.ID]; e != nil && e.has(g) {
 		delete(e.grants, g)
 		g.updateEndpoint(e, result, pace, s.clock.Now())
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -38,10 +38,10 @@
 	StartedMillis int64
 }
 
-// SameProcess reports whether o is the same process, not restarted. An unknown
-// start time matches any other.
+// SameProcess reports whether o is the same process in the same place, not restarted: what is
+// known of the one holds for the other. An unknown start time matches only an unknown one.
 func (e Endpoint) SameProcess(o Endpoint) bool {
-	return e.ID == o.ID && e.Address == o.Address && (e.StartedMillis == o.StartedMillis || e.StartedMillis == 0 || o.StartedMillis == 0)
+	return e.Process() == o.Process() && e.Service == o.Service && e.Address == o.Address && e.Domain == o.Domain
 }
 
 // List is a set of endpoints. The zero value is empty. It is safe for concurrent
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -23,19 +23,33 @@
 // Guards against mistaking a restarted endpoint, or another endpoint with the
 // same address, for the previous one.
 func TestSame(t *testing.T) {
-	e := fleet.Endpoint{ID: "a", Address: "x:1", StartedMillis: 5}
-	for _, c := range []struct {
-		other fleet.Endpoint
-		want  bool
-	}{
-		{fleet.Endpoint{ID: "a", Address: "x:1", StartedMillis: 5, State: fleet.Leaving}, true},
-		{fleet.Endpoint{ID: "a", Address: "x:1"}, true},
-		{fleet.Endpoint{ID: "a", Address: "x:1", StartedMillis: 6}, false},
-		{fleet.Endpoint{ID: "a", Address: "x:2", StartedMillis: 5}, false},
-		{fleet.Endpoint{ID: "b", Address: "x:1", StartedMillis: 5}, false},
-	} {
-		require.Equal(t, c.want, e.SameProcess(c.other), "%+v", c.other)
+	e := fleet.Endpoint{ID: "a", Service: "s", Address: "x:1", Domain: "d", Slots: 1, StartedMillis: 5}
+	unknown := e
+	unknown.StartedMillis = 0
+	change := func(e fleet.Endpoint, f func(e *fleet.Endpoint)) fleet.Endpoint {
+		f(&e)
+		return e
 	}
+	for _, of := range []fleet.Endpoint{e, unknown} {
+		for _, c := range []struct {
+			other fleet.Endpoint
+			want  bool
+		}{
+			{of, true},
+			{change(of, func(e *fleet.Endpoint) { e.State = fleet.Leaving }), true},
+			{change(of, func(e *fleet.Endpoint) { e.Slots = 2 }), true},
+			{change(of, func(e *fleet.Endpoint) { e.StartedMillis = 6 }), false},
+			{change(of, func(e *fleet.Endpoint) { e.Address = "x:2" }), false},
+			{change(of, func(e *fleet.Endpoint) { e.ID = "b" }), false},
+			{change(of, func(e *fleet.Endpoint) { e.Service = "t" }), false},
+			{change(of, func(e *fleet.Endpoint) { e.Domain = "f" }), false},
+		} {
+			require.Equal(t, c.want, of.SameProcess(c.other), "%+v", c.other)
+			require.Equal(t, c.want, c.other.SameProcess(of), "%+v", c.other)
+		}
+	}
+	require.False(t, e.SameProcess(unknown), "a start that becomes unknown")
+	require.False(t, unknown.SameProcess(e), "a start that becomes known")
 }
 
 // Example derives a changed list.
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -91,6 +91,14 @@
 	delete(l.records, victim)
 }
 
+// remove drops the record of an endpoint.
+func (l *limits) remove(p Process) {
+	if _, found := l.records[p]; found {
+		delete(l.records, p)
+		l.publish()
+	}
+}
+
 // expire drops the records of endpoints of which nothing has been heard for noticeRetention.
 func (l *limits) expire(now time.Time) {
 	before := len(l.records)
--- a/fleet/notice.go
+++ b/fleet/notice.go
@@ -165,6 +165,16 @@
 	n.limits.expire(now)
 }
 
+// Replaced drops what is known of an endpoint that another process has replaced, or that has
+// moved to another service, address or failure domain. Process alone does not tell that when
+// the start is unknown or unchanged.
+func (n *Notices) Replaced(e Endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.closed, e.Process())
+	n.limits.remove(e.Process())
+}
+
 // Limited returns the limits in force, in requests a second from all entries together. The
 // map must not be modified.
 func (n *Notices) Limited() map[Process]float64 { return *n.limits.inForce.Load() }
--- a/health/health.go
+++ b/health/health.go
@@ -76,6 +76,9 @@
 	}
 }
 
+// Remove removes the agent, so that its state does not pass to another of its name.
+func (g *Group) Remove(name string) { delete(g.agents, name) }
+
 // RecordAnswer records a complete answer with the mean time between its tokens, zero
 // when it has too few tokens.
 func (g *Group) RecordAnswer(name string, tokenInterval time.Duration, now time.Time) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -94,13 +94,16 @@
 }
 
 // key identifies the endpoint process at the other end of a connection. born
-// differs between processes that use the same id and address one after another.
+// differs between processes that use the same id and address one after another, unless it
+// is unknown; a process with another service or failure domain is another one, too.
 type key struct {
-	id, address string
-	born        int64
+	id, address, service, domain string
+	born                         int64
 }
 
-func keyOf(e fleet.Endpoint) key { return key{id: e.ID, address: e.Address, born: e.StartedMillis} }
+func keyOf(e fleet.Endpoint) key {
+	return key{id: e.ID, address: e.Address, service: e.Service, domain: e.Domain, born: e.StartedMillis}
+}
 
 // Pool holds the idle connections to all endpoints. It is safe for concurrent
 // use.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -314,10 +314,21 @@
 	p := newPool(t)
 	_, err := doCall(p, f, newCall("1", "b"))
 	require.NoError(t, err)
-	p.Retain(fleet.Of(fleet.Endpoint{ID: "e", Address: f.address, StartedMillis: 9}))
+	p.Retain(fleet.Of(fleet.Endpoint{ID: "e", Address: f.address, Slots: 3, State: fleet.Leaving}))
 	_, err = doCall(p, f, newCall("2", "b"))
 	require.NoError(t, err)
-	require.Equal(t, int64(2), f.conns.Load())
+	require.Equal(t, int64(1), f.conns.Load(), "the connection to the same process is kept")
+	conns := int64(1)
+	for _, e := range []fleet.Endpoint{
+		{ID: "e", Address: f.address, StartedMillis: 9}, {ID: "e", Address: f.address, Service: "t"}, {ID: "e", Address: f.address, Domain: "f"},
+		{ID: "e", Address: "127.0.0.1:9"}, {ID: "f", Address: f.address},
+	} {
+		p.Retain(fleet.Of(e))
+		_, err = doCall(p, f, newCall("2", "b"))
+		require.NoError(t, err)
+		conns++
+		require.Equal(t, conns, f.conns.Load(), "%+v", e)
+	}
 }
 
 // matchID matches responses by their Id field.
