Set the gateway's header fields after the caller's hop-by-hop fields are gone

A caller that named Tenant in its Connection field had its requests run without the tenant that the gateway sets: Forward set the fields in a copy of the caller's header, and EndToEnd later dropped what the copied Connection field named. A caller cannot make a field hop-by-hop that the gateway reads, of which only the first value is forwarded; an endpoint cannot strip Response-Signature, Attempt-Id or Retry-After from its answers (new method Deliver of the dialect).

--- a/dialect.go
+++ b/dialect.go
@@ -76,6 +76,9 @@
 	// header without hop-by-hop fields, the caller's key and fields that only the
 	// scheduler may set, and with the fields of d.
 	Forward(h http.Header, d Dispatch) http.Header
+	// Deliver returns the header of an endpoint's answer for the caller: without
+	// hop-by-hop fields, but with all that callers need of it.
+	Deliver(h http.Header) http.Header
 	// Answer decodes the status and header of an endpoint's answer.
 	Answer(status int, h http.Header) AnswerFields
 }
--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -42,3 +42,25 @@
 	require.Equal(t, http.StatusOK, s.send("/read/x", "honest", "b", "X-Api-Key", "small", "Token-Usage", "50,50").status, "the quota was charged")
 	require.NotEqual(t, http.StatusOK, s.send("/read/x", "more", "b", "X-Api-Key", "small", "Token-Usage", "90,5").status, "the quota was refilled")
 }
+
+// Guards against a caller or an endpoint that strips with its Connection field what the gateway
+// sets, or what the other side needs.
+func TestConnectionField(t *testing.T) {
+	p := newFakeEndpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "Response-Signature, attempt-id, X-Own")
+		w.Header().Set("X-Own", "1")
+		fmt.Fprint(w, "ok")
+	})
+	s := start(t, p)
+	res := s.sendRaw("POST /read/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: id\r\nX-Api-Key: key\r\nTenant: forged\r\ntenant: forged\r\nToken-Usage: 1,2\r\n" +
+		"Connection: Tenant, deadline-ms\r\nCONNECTION: EXPECTED-REPLICA,token-usage, Attempt-Id, Content-Length\r\nContent-Length: 2\r\n\r\nab")
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	h := p.lastRequest().Header
+	for name, value := range map[string]string{"Tenant": "acme", "Expected-Replica": "e0", "Attempt-Id": "id", "Token-Usage": "1,2", "Content-Length": "2"} {
+		require.Equal(t, []string{value}, h[name], name)
+	}
+	require.Len(t, h["Deadline-Ms"], 1)
+	require.Equal(t, "sig-id", res.Header.Get("Response-Signature"))
+	require.Equal(t, "id", res.Header.Get("Attempt-Id"))
+	require.Empty(t, res.Header.Get("X-Own"))
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -186,7 +186,9 @@
 // writeHeader sends the status and header of an answer to the caller.
 func (r *relay) writeHeader(a *upstream.Answer) {
 	h := r.writer.Header()
-	upstream.EndToEnd(a.Header, h.Add)
+	for name, values := range r.call.g.dialect.Deliver(a.Header) {
+		h[name] = append(h[name], values...)
+	}
 	if _, found := a.Header["Content-Type"]; !found {
 		h["Content-Type"] = nil
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -215,14 +215,18 @@
 }
 
 // EndToEnd calls f with each end-to-end field of h. It skips the hop-by-hop
-// fields, which include those that the Connection field lists.
-func EndToEnd(h http.Header, f func(name, value string)) {
+// fields, which include those that the Connection field lists, except the fields in keep: the
+// sender cannot make these hop-by-hop. The names in keep are in canonical form.
+func EndToEnd(h http.Header, keep []string, f func(name, value string)) {
 	named := map[string]bool{}
 	for _, value := range h["Connection"] {
 		for _, name := range strings.Split(value, ",") {
 			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
+	for _, name := range keep {
+		delete(named, name)
+	}
 	for name, values := range h {
 		if hopByHopFields[name] || named[name] {
 			continue
@@ -237,7 +241,7 @@
 func encodeHead(call Call) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
-	EndToEnd(call.Header, func(name, value string) {
+	EndToEnd(call.Header, nil, func(name, value string) {
 		b.WriteString(name)
 		b.WriteString(": ")
 		b.WriteString(value)
