Select the route by the raw path that is forwarded

A request for /a/b%2Fx was sent to the service of /a/b/: the route was selected by the path that net/http had decoded, while the target was forwarded as the caller sent it. Both now use one value, the request target in origin form, whose raw path up to the query is compared byte by byte with the prefixes. An absolute-form target keeps its raw path, too, and the fingerprint of a request uses the same value.

Failed before: gateway TestRoutePath, 503 in place of 200 for /a/b%2Fx. After: its 34 targets pass with -race: encoded slashes, encoded ordinary characters, dot segments, doubled slashes, absolute forms and targets without a route.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -38,6 +38,8 @@
 type call struct {
 	g       *Gateway
 	request *http.Request
+	// target is the request target in origin form, which selects the route and is forwarded.
+	target  string
 	fields  damasktrail.CallFields
 	route   routing.Route
 	service routing.Service
@@ -99,7 +101,7 @@
 // writer to limit the size of the body.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request) (*call, *statusError) {
 	now := g.clock.Now()
-	c := &call{g: g, request: r, fields: g.dialect.Call(r.Header), arrived: now}
+	c := &call{g: g, request: r, target: requestTarget(r), fields: g.dialect.Call(r.Header), arrived: now}
 	if c.fields.OutOfRange != "" {
 		if r.ContentLength != 0 {
 			// Otherwise the server reads the body before it sends the answer.
@@ -120,7 +122,7 @@
 		return notRunError(code, reason, 0, detail)
 	}
 	var found bool
-	if c.route, found = s.Table.Route(r.Host, r.URL.Path); !found {
+	if c.route, found = s.Table.Route(r.Host, targetPath(c.target)); !found {
 		return c, notFoundError(http.StatusNotFound, damasktrail.ReasonNoModel, "no route for this host and path")
 	}
 	c.tier = combinedTier(c.organisation, c.route)
@@ -242,7 +244,7 @@
 // sent again.
 func fingerprint(c *call) uint64 {
 	h := fnv.New64a()
-	for _, s := range []string{c.organisation.Name, c.request.Method, c.request.RequestURI} {
+	for _, s := range []string{c.organisation.Name, c.request.Method, c.target} {
 		_, _ = io.WriteString(h, s)
 		_, _ = h.Write([]byte{0})
 	}
--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/gateway"
+	"damasktrail.dev/routing"
 )
 
 // sendRaw sends a request as it is written, on a connection of its own, and returns the answer.
@@ -43,6 +47,70 @@
 	require.NotEqual(t, http.StatusOK, s.send("/read/x", "more", "b", "X-Api-Key", "small", "Token-Usage", "90,5").status, "the quota was refilled")
 }
 
+// Guards against a route that is selected by another path than the one that is forwarded: a
+// request for one service was sent to another because its path was decoded first.
+func TestRoutePath(t *testing.T) {
+	p := newFakeEndpoint(t, respondWith("ok"))
+	s := start(t, p)
+	route := func(name, prefix, service string) routing.Route {
+		return routing.Route{Name: name, Host: "h", Prefix: prefix, Kind: routing.Idempotent, Attempts: 1, Timeout: 3 * time.Second, Objective: time.Second, Anonymous: true, Targets: []routing.Target{{Service: service, Weight: 1}}}
+	}
+	table, err := routing.New(2, routing.Limits{}, []routing.Route{
+		route("outer", "/a/", "s"), route("inner", "/a/b/", "none"), route("encoded", "/a/%62/", "none"), route("lower", "/x/y%2fz/", "none"), route("other", "/c/", "none"),
+	}, []routing.Service{{Name: "s"}, {Name: "none"}}, nil)
+	require.NoError(t, err)
+	s.update(func() { s.table = table })
+	require.Eventually(t, func() bool { return s.send("/a/x", "id", "").status == http.StatusOK }, 5*time.Second, 5*time.Millisecond)
+	const elsewhere, none = http.StatusServiceUnavailable, http.StatusNotFound
+	for i, c := range []struct {
+		target, forwarded string
+		status            int
+	}{
+		{"/a/x", "/a/x", http.StatusOK},
+		{"/a/b/x", "", elsewhere},
+		{"/a/b%2Fx", "/a/b%2Fx", http.StatusOK},
+		{"/a/b%2fx", "/a/b%2fx", http.StatusOK},
+		{"/a%2Fb/x", "", none},
+		{"/%61/x", "", none},
+		{"/a/%62/x", "", elsewhere},
+		{"/a/%62%2Fx", "/a/%62%2Fx", http.StatusOK},
+		{"/x/y%2fz/w", "", elsewhere},
+		{"/x/y%2Fz/w", "", none},
+		{"/x/y/z/w", "", none},
+		{"/a/../c/x", "/a/../c/x", http.StatusOK},
+		{"/a/%2e%2e/c/x", "/a/%2e%2e/c/x", http.StatusOK},
+		{"/a/./b/x", "/a/./b/x", http.StatusOK},
+		{"/c/../a/x", "", elsewhere},
+		{"//a/x", "", none},
+		{"/a//b/x", "/a//b/x", http.StatusOK},
+		{"/a/b//x", "", elsewhere},
+		{"/a/b", "/a/b", http.StatusOK},
+		{"/a", "", none},
+		{"/A/x", "", none},
+		{"/a/?/a/b/", "/a/?/a/b/", http.StatusOK},
+		{"/a/x?q=%2F#f", "/a/x?q=%2F#f", http.StatusOK},
+		{"/a/b;v=1/x", "/a/b;v=1/x", http.StatusOK},
+		{"/a/x y", "", http.StatusBadRequest},
+		{"/a/%zz", "", http.StatusBadRequest},
+		{"http://h/a/b%2Fx?q", "/a/b%2Fx?q", http.StatusOK},
+		{"http://h/a/%62/x", "", elsewhere},
+		{"http://h/a/../c/x", "/a/../c/x", http.StatusOK},
+		{"HTTP://h:80/a/x", "/a/x", http.StatusOK},
+		{"http://other/a/x", "", none},
+		{"http://h", "", none},
+		{"http://h?/a/x", "", none},
+		{"*", "", none},
+	} {
+		id := fmt.Sprint("path", i)
+		res := s.sendRaw("POST " + c.target + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n")
+		require.Equal(t, c.status, res.StatusCode, c.target)
+		if c.forwarded != "" {
+			require.Equal(t, c.forwarded, p.lastRequest().RequestURI, c.target)
+			require.Equal(t, 1, p.runCount(id), c.target)
+		}
+	}
+}
+
 // Guards against a caller or an endpoint that strips with its Connection field what the gateway
 // sets, or what the other side needs.
 func TestConnectionField(t *testing.T) {
@@ -64,3 +132,24 @@
 	require.Equal(t, "id", res.Header.Get("Attempt-Id"))
 	require.Empty(t, res.Header.Get("X-Own"))
 }
+
+// FuzzRoutePath guards against a target that is forwarded with another path than the one that
+// selected its route.
+func FuzzRoutePath(f *testing.F) {
+	for _, target := range []string{"/a/b%2Fx", "http://h/a/%62/x?q", "*", "/a/../b/", "http://h?x", "//h/a/", "h:80", "x://?://a/"} {
+		f.Add(target)
+	}
+	f.Fuzz(func(t *testing.T, target string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n")))
+		if err != nil {
+			return
+		}
+		forwarded, path := gateway.RequestTarget(r)
+		require.True(t, strings.HasPrefix(forwarded, path))
+		require.True(t, strings.HasSuffix(r.RequestURI, strings.TrimPrefix(forwarded, "/")))
+		if r.URL.Scheme == "" && strings.HasPrefix(r.RequestURI, "/") {
+			require.Equal(t, r.RequestURI, forwarded)
+		}
+		require.NotContains(t, path, "?")
+	})
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -101,13 +101,9 @@
 		Remaining:    c.deadline.Sub(g.clock.Now()),
 		LastEvent:    lastEventID,
 	})
-	target := c.request.RequestURI
-	if target == "" || target[0] != '/' {
-		target = c.request.URL.RequestURI()
-	}
 	c.sentAt = g.clock.Now()
 	a, err := g.pool.Do(ctx, grant.Endpoint, upstream.Call{
-		ID: c.fields.ID, Method: c.request.Method, Target: target, Host: c.request.Host, Header: header, Body: c.body,
+		ID: c.fields.ID, Method: c.request.Method, Target: c.target, Host: c.request.Host, Header: header, Body: c.body,
 		Matches: c.match,
 	})
 	var failure *upstream.Error
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -202,7 +202,8 @@
 	return nil
 }
 
-// Route returns the route of the host with the longest prefix of path. The host
+// Route returns the route of the host with the longest prefix of path, the raw path of a
+// request target. Paths are compared byte by byte: none is decoded or cleaned. The host
 // may include a port.
 func (t *Table) Route(host, path string) (Route, bool) {
 	name, _, found := strings.Cut(host, ":")
