Let an empty list of organisations withdraw all keys

A configuration that withdrew the last organisation opened the system: an empty list equalled an absent one, so that requests needed no key any more.

--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -133,6 +133,22 @@
 	require.Empty(t, res.Header.Get("X-Own"))
 }
 
+// Guards against a gateway that lets everybody in, or restores keys, when the last organisation
+// has been withdrawn.
+func TestLastOrganisationWithdrawn(t *testing.T) {
+	p := newFakeEndpoint(t, respondWith("ok"))
+	s := start(t, p)
+	require.Equal(t, http.StatusOK, s.send("/read/x", "before", "").status)
+	s.setTable(2, []routing.Organisation{})
+	require.Eventually(t, func() bool { return s.send("/read/x", "poll", "").status == http.StatusUnauthorized }, 5*time.Second, 5*time.Millisecond)
+	for i, key := range []string{"key", "small", "never", ""} {
+		id := fmt.Sprint("after", i)
+		require.Equal(t, http.StatusUnauthorized, s.send("/read/x", id, "", "X-Api-Key", key).status, "key %q", key)
+		require.Zero(t, p.runCount(id))
+	}
+	require.Equal(t, http.StatusOK, s.send("/open/x", "open", "").status, "an anonymous route needs no key")
+}
+
 // FuzzRoutePath guards against a target that is forwarded with another path than the one that
 // selected its route.
 func FuzzRoutePath(f *testing.F) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -155,7 +155,9 @@
 	return fmt.Sprintf("%s %q: %s", e.Part, e.Name, e.Detail)
 }
 
-// New returns a table of the given parts. It returns an [*Error] for the first
+// New returns a table of the given parts. Without a list of organisations (nil), requests need
+// no keys; with an empty one there are no valid keys. The empty key is never valid, and no key
+// of an organisation without a name is. It returns an [*Error] for the first
 // invalid part.
 func New(version uint64, limits Limits, routes []Route, services []Service, organisations []Organisation) (*Table, error) {
 	res := &Table{
@@ -179,6 +181,9 @@
 	}
 	for i, o := range organisations {
 		for _, k := range o.Keys {
+			if k == "" || o.Name == "" {
+				continue
+			}
 			if other, found := res.keys[k]; found && other != i {
 				return nil, &Error{Part: "organisation", Name: o.Name, Detail: "shares a key with " + organisations[other].Name}
 			}
@@ -192,7 +197,7 @@
 	switch {
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return &Error{Part: "route", Name: r.Name, Detail: fmt.Sprintf("prefix %q does not begin and end with a slash", r.Prefix)}
-	case len(r.Targets) == 0:
+	case len(r.Targets) == 0 || slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == "" }):
 		return &Error{Part: "route", Name: r.Name, Detail: "names no service"}
 	case r.Attempts < 1:
 		return &Error{Part: "route", Name: r.Name, Detail: "allows no attempt"}
@@ -224,9 +229,9 @@
 	return s, found
 }
 
-// RequiresKeys reports whether requests need a key. They need none if no
-// organisations are configured.
-func (t *Table) RequiresKeys() bool { return len(t.organisations) > 0 }
+// RequiresKeys reports whether requests need a key. They need none if there is no list of
+// organisations. An empty list withdraws all keys.
+func (t *Table) RequiresKeys() bool { return t.organisations != nil }
 
 // Organisation returns the organisation that owns the key.
 func (t *Table) Organisation(key string) (Organisation, bool) {
