--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -320,8 +320,11 @@
 	require.Equal(t, int64(1), f.conns.Load(), "the connection to the same process is kept")
 	conns := int64(1)
 	for _, e := range []fleet.Endpoint{
-		{ID: "e", Address: f.address, StartedMillis: 9}, {ID: "e", Address: f.address, Service: "t"}, {ID: "e", Address: f.address, Domain: "f"},
-		{ID: "e", Address: "127.0.0.1:9"}, {ID: "f", Address: f.address},
+		{ID: "e", Address: f.address, StartedMillis: 9},
+		{ID: "e", Address: f.address, Service: "t"},
+		{ID: "e", Address: f.address, Domain: "f"},
+		{ID: "e", Address: "127.0.0.1:9"},
+		{ID: "f", Address: f.address},
 	} {
 		p.Retain(fleet.Of(e))
 		_, err = doCall(p, f, newCall("2", "b"))
