Let coordinators that know the same choose different endpoints

An endpoint of another failure domain, whose coordinator may be taking the slot, now has a loss of 0.004, and each endpoint one of up to 0.004 by the draw that the turns use, which differs between entries; both together stay below what a request waits for.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -28,6 +28,11 @@
 	// secondLoss is the loss for each second that a response takes, which decides between
 	// endpoints that are equal otherwise.
 	secondLoss = 0.02
+	// foreignLoss is the loss at an endpoint of another failure domain, whose coordinator may
+	// be taking the same slot, and spreadLoss times a draw that at any endpoint, by which
+	// coordinators that know the same choose different ones. Their sum is below minGain.
+	foreignLoss = 0.004
+	spreadLoss  = 0.004
 	// minGain is the loss that a later slot must save to be waited for.
 	minGain = 0.01
 	// maxPassedRatio is the part of its objective for which a request at most waits for a
@@ -166,6 +171,10 @@
 		res[FailureFactor]++
 	}
 	res[TimeFactor] = secondLoss * (first + decode*(1+0.2*busy))
+	if e.Domain != s.domain {
+		res[TimeFactor] += foreignLoss
+	}
+	res[TimeFactor] += spreadLoss * min(e.draw(s.name), 1)
 	if e.limiter != nil && now.Sub(e.freeSince) > unusedLimitTime {
 		res[TimeFactor] -= unusedLimitGain
 	}
--- a/dispatch/turn.go
+++ b/dispatch/turn.go
@@ -169,16 +169,21 @@
 // score is the weighted rendezvous hash of a contender at the endpoint. The contender
 // with the lowest score has the first turn.
 func (e *endpoint) score(c contender) float64 {
-	d, found := e.draws[c.entry]
-	if !found {
-		d = -math.Log(uniformHash(c.entry, e.ID))
-		e.draws[c.entry] = d
-	}
 	weight := float64(1 + c.waiting)
 	if c.domain == e.Domain {
 		weight *= sameDomainWeight
 	}
-	return d / weight
+	return e.draw(c.entry) / weight
+}
+
+// draw returns the draw of an entry at the endpoint, exponentially distributed.
+func (e *endpoint) draw(entry string) float64 {
+	d, found := e.draws[entry]
+	if !found {
+		d = -math.Log(uniformHash(entry, e.ID))
+		e.draws[entry] = d
+	}
+	return d
 }
 
 // uniformHash maps its arguments to a number above 0 and up to 1, deterministically
