dispatch: Let admitted requests wait until their deadline

Requests that were admitted for the time in which they could be in time were refused at its end when arrivals filled the endpoints. Their callers came back late already, competed as new requests with those that could be in time, and a refusal at 0.9 of the objective costs the caller most of its time. Waiting requests are evaluated again only when the supply shrinks; while all endpoints that are left have failed and are tried again soon, nothing is refused. New loads: one organisation with six times its demand, a third of the endpoints lost for 4 s, two of four coordinators lost; each is better than the fixed rules for the lowest tier and within noise for the others.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -21,9 +21,6 @@
 	returnRatio = 1.0 / 3
 	// lossRatio is the part of the supply below which waiting requests are evaluated again.
 	lossRatio = 0.9
-	// reserveTime times the arrival rate is the number of free slots that overdue requests
-	// leave to those that arrive.
-	reserveTime = 50 * time.Millisecond
 )
 
 // forecast is what the queue of a service is expected to do for a request.
@@ -140,12 +137,7 @@
 	if max(f.untilInTime(), token) > inTime {
 		inTime = 0
 	}
-	switch {
-	case fits:
-		maxWait = whole
-	case inTime > 0:
-		maxWait = inTime
-	default:
+	if !fits && inTime == 0 {
 		return "", 0, s.turnAway(v, r, f, id, now)
 	}
 	evicted, refusal := v.waiting.Push(queue.Item[*waiter]{
@@ -155,31 +147,13 @@
 		Value:       w,
 	}, now)
 	for _, it := range evicted {
-		s.reject(v, it, now)
+		s.reject(v, it, available, now)
 	}
 	if refusal != nil {
 		return "", 0, refusal
 	}
 	s.assign(v)
-	return id, maxWait, nil
-}
-
-// prolong returns for how much longer a request may wait that was admitted to wait as long as
-// it can be in time: zero, unless an answer before its deadline is now likely.
-func (s *Scheduler) prolong(v *service, w *waiter, id string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	if !v.adaptive(now) || !v.waiting.Has(id) {
-		return 0
-	}
-	_, whole := v.patience(w.request, now)
-	left := whole - now.Sub(w.arrived)
-	f := s.forecast(v, w.request, s.supply(v, w, now), now)
-	if f.untilOverdue() > left {
-		return 0
-	}
-	return max(0, left)
+	return id, whole, nil
 }
 
 // turnAway returns the refusal of a request that is not expected to get a slot in its time.
@@ -215,10 +189,10 @@
 
 // reject refuses a request that was waiting. It is called with mu held, after the request was
 // removed from the queue.
-func (s *Scheduler) reject(v *service, it queue.Item[*waiter], now time.Time) {
+func (s *Scheduler) reject(v *service, it queue.Item[*waiter], available supply, now time.Time) {
 	w := it.Value
 	r := w.request.WithElapsed(now.Sub(w.arrived))
-	w.refusal = s.turnAway(v, r, s.forecast(v, r, s.supply(v, w, now), now), it.ID, now)
+	w.refusal = s.turnAway(v, r, s.forecast(v, r, available, now), it.ID, now)
 	close(w.granted)
 }
 
@@ -229,31 +203,36 @@
 	if !v.adaptive(now) {
 		return
 	}
-	slots := s.supply(v, &waiter{}, now).slots
-	before := v.lastSlots
-	if slots > before || slots < lossRatio*before {
-		v.lastSlots = slots
+	available, before := s.supply(v, &waiter{}, now), v.lastSlots
+	if available.slots > before || available.slots < lossRatio*before {
+		v.lastSlots = available.slots
 	}
-	if slots >= lossRatio*before {
+	if available.slots >= lossRatio*before {
 		return
 	}
+	if _, retried := v.shortestClosure(&waiter{}, now); retried && available.slots == 0 {
+		return // All endpoints that are left have failed and are tried again soon.
+	}
 	ahead := 0.0
 	for _, it := range v.waiting.Items() {
-		w := it.Value
-		r := w.request.WithElapsed(now.Sub(w.arrived))
-		f := s.forecast(v, r, s.supply(v, w, now), now)
-		_, whole := v.patience(w.request, now)
-		left := whole - now.Sub(w.arrived)
-		f.urgent, f.waiting = min(f.urgent, ahead), min(f.waiting, ahead)
-		if min(f.untilInTime(), f.untilOverdue()) > left {
-			v.waiting.Remove(it.ID)
-			s.reject(v, it, now)
+		if s.hasChance(v, it.Value, ahead, available, now) {
+			ahead++
 			continue
 		}
-		ahead++
+		v.waiting.Remove(it.ID)
+		s.reject(v, it, available, now)
 	}
 }
 
+// hasChance reports whether a waiting request is expected to get a slot in its time, with a
+// number of requests of this entry before it.
+func (s *Scheduler) hasChance(v *service, w *waiter, ahead float64, available supply, now time.Time) bool {
+	f := s.forecast(v, w.request, available, now)
+	f.urgent, f.waiting = min(f.urgent, ahead), min(f.waiting, ahead)
+	_, whole := v.patience(w.request, now)
+	return min(f.untilInTime(), f.untilOverdue()) <= whole-now.Sub(w.arrived)
+}
+
 // late returns the refusal of a request whose time to wait is over. It is called with mu held.
 func (s *Scheduler) late(v *service, w *waiter, id string) *damasktrail.Refusal {
 	now := s.clock.Now()
@@ -263,21 +242,3 @@
 	r := w.request.WithElapsed(now.Sub(w.arrived))
 	return s.turnAway(v, r, s.forecast(v, r, s.supply(v, w, now), now), id, now)
 }
-
-// reserves reports whether the free slots are kept for requests that arrive soon and can be in
-// time, as only overdue requests wait: with the last slots taken by them, the next requests would
-// wait, or run at a slow endpoint. It is called with mu held.
-func (s *Scheduler) reserves(v *service, candidates map[*endpoint]int, now time.Time) bool {
-	if !v.adaptive(now) {
-		return false
-	}
-	rank, overdue := v.waiting.Next(now)
-	if !overdue {
-		return false
-	}
-	free := 0
-	for _, n := range candidates {
-		free += n
-	}
-	return float64(free) <= v.demand.perSecond(rank+1, now)*reserveTime.Seconds()
-}
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -11,7 +11,7 @@
 	arrivalWindow = 6 * time.Second
 	// deviationFactor times the mean deviation is added to a mean time where most requests,
 	// not just the mean one, must fit.
-	deviationFactor = 2
+	deviationFactor = 3
 )
 
 // demand is what was measured of the requests of a service, for each tier.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -272,22 +272,17 @@
 	default:
 	}
 	s.onChange(false)
-	for maxWait > 0 {
-		expired := make(chan struct{})
-		cancel := s.clock.Schedule(maxWait, func(time.Time) { close(expired) })
-		maxWait = 0
-		select {
-		case g := <-w.granted:
-			if g != nil {
-				cancel()
-				s.onChange(true)
-				return g, nil
-			}
-		case <-expired:
-			maxWait = s.prolong(v, w, id)
-		case <-ctx.Done():
+	expired := make(chan struct{})
+	cancel := s.clock.Schedule(maxWait, func(time.Time) { close(expired) })
+	defer cancel()
+	select {
+	case g := <-w.granted:
+		if g != nil {
+			s.onChange(true)
+			return g, nil
 		}
-		cancel()
+	case <-expired:
+	case <-ctx.Done():
 	}
 	return s.abandon(ctx, v, w, id)
 }
@@ -377,9 +372,6 @@
 			s.scheduleAssign(v, next)
 			break
 		}
-		if s.reserves(v, candidates, now) {
-			break
-		}
 		it, ok := v.waiting.Pop(now)
 		if !ok {
 			break
--- a/dispatch/hardload_test.go
+++ b/dispatch/hardload_test.go
@@ -50,7 +50,7 @@
 	// whole says that an answer is in time if its end is; else its first byte counts, after a
 	// fifth of the time that it holds its slot.
 	whole bool
-	// heavy is an organisation that sends six times its part from the first third on.
+	// heavy says that one of five organisations sends six times its part from the first third on.
 	heavy bool
 	// lostEntries and lostEndpoints are lost at lossAt, the endpoints for 4 s.
 	lostEntries, lostEndpoints int
@@ -145,6 +145,9 @@
 	if at%k.burstPeriod < k.burstTime {
 		res *= k.burst
 	}
+	if r.heavy && at > r.duration/3 {
+		res *= 2 // Four organisations as before, and one with six times its load.
+	}
 	return res
 }
 
@@ -372,11 +375,50 @@
 	} {
 		t.Logf("%+v", f)
 		fixed, adaptive := f.compare(t)
-		require.GreaterOrEqual(t, adaptive.tiers[0].inTime, fixed.tiers[0].inTime*995/1000, "highest tier in time")
-		require.GreaterOrEqual(t, adaptive.tiers[1].inTime, fixed.tiers[1].inTime*99/100)
-		require.Greater(t, adaptive.tiers[2].inTime, fixed.tiers[2].inTime)
-		require.Greater(t, adaptive.tiers[2].inTime+adaptive.tiers[2].late, fixed.tiers[2].inTime+fixed.tiers[2].late)
-		require.Less(t, adaptive.tiers[2].refusals, fixed.tiers[2].refusals*3/4)
-		require.Zero(t, adaptive.tiers[0].refusals)
+		adaptive.requireBetter(t, fixed, 5)
 	}
 }
+
+// Guards against an organisation with six times its usual load that takes the part of the others
+// in either group of a tier.
+func TestHardLoadOfOneOrganisation(t *testing.T) {
+	fixed, adaptive := hardLoad{entries: 1, scale: 0.7, heavy: true, duration: 45 * time.Second}.compare(t)
+	for i := range 5 {
+		org := fmt.Sprint("o", i)
+		f, a := fixed.byOrg[org], adaptive.byOrg[org]
+		t.Logf("%s fixed:    %v", org, f)
+		t.Logf("%s adaptive: %v", org, a)
+		if i > 0 {
+			require.Greater(t, a.inTime, 95*a.asked/100, "%s is not the cause", org)
+		}
+		require.LessOrEqual(t, a.refused+a.refusedAgain+a.lost, f.refused+f.refusedAgain+f.lost, org)
+	}
+}
+
+// Guards against waiting requests that are served late or refused at the end of their time since
+// a third of the endpoints are lost for 4 s at the peak.
+func TestHardLoadAmidLostEndpoints(t *testing.T) {
+	for _, entries := range []int{1, 4} {
+		fixed, adaptive := hardLoad{entries: entries, scale: 1, lostEndpoints: 13, lossAt: 18 * time.Second, duration: 30 * time.Second}.compare(t)
+		adaptive.requireBetter(t, fixed, 10)
+	}
+}
+
+// Guards against a loss of callers beyond those of the lost entries: two of four are lost during
+// a burst, and their callers ask others.
+func TestHardLoadAmidLostCoordinators(t *testing.T) {
+	fixed, adaptive := hardLoad{entries: 4, scale: 1, lostEntries: 2, lossAt: 20 * time.Second, duration: 30 * time.Second}.compare(t)
+	adaptive.requireBetter(t, fixed, 10)
+}
+
+// requireBetter checks that callers of the highest tiers lost nothing but noise, stated in
+// thousandths, and that the lowest tier gets more answers, in time and in all, and fewer
+// refusals. With four entries the order of events differs between two runs.
+func (r *hardRun) requireBetter(t *testing.T, fixed *hardRun, noise int) {
+	require.GreaterOrEqual(t, r.tiers[0].inTime, fixed.tiers[0].inTime*(1000-noise)/1000, "highest tier in time")
+	require.GreaterOrEqual(t, r.tiers[1].inTime, fixed.tiers[1].inTime*99/100)
+	require.Greater(t, r.tiers[2].inTime, fixed.tiers[2].inTime)
+	require.Greater(t, r.tiers[2].inTime+r.tiers[2].late, fixed.tiers[2].inTime+fixed.tiers[2].late)
+	require.Less(t, r.tiers[2].refusals, fixed.tiers[2].refusals*3/4)
+	require.Zero(t, r.tiers[0].refused+r.tiers[0].refusedAgain)
+}
--- a/queue/group.go
+++ b/queue/group.go
@@ -99,17 +99,3 @@
 	}
 	return res
 }
-
-// Has reports whether an item with the ID waits.
-func (q *Queue[T]) Has(id string) bool { return q.nodes[id] != nil }
-
-// Next returns the group that is served next; the rank is -1 when the queue is empty.
-func (q *Queue[T]) Next(now time.Time) (rank int, overdue bool) {
-	q.Regroup(now)
-	for _, t := range q.tiers {
-		if t.count > 0 {
-			return t.rank, t.overdue
-		}
-	}
-	return -1, false
-}
