gateway: Measure who waits and when requests are refused

An operator could not tell requests that wait and can be in time from those that can only be late, nor how much of its time a refusal costs a caller. The gauges damasktrail_waiting_in_time and damasktrail_waiting_overdue count both groups, and the histogram damasktrail_refusal_time_ratio has the age of each refused request that has not run as a part of its objective. The test of the operations page now covers such histograms too. `go test ./gateway -run 'Operations|Refus|Metrics'`, ./telemetry and the linter pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,6 +143,7 @@
 		return nil, err
 	}
 	if err := errors.Join(
+		g.measureWaiting(),
 		m.Gauge("coordinator", "1 while this gateway grants the slots of its failure domain to others, else 0.", g.coordinates),
 		m.Gauge("table_behind_seconds", "Time since a peer first reported a newer routing table than the one in force, 0 if none has.", func() float64 { return g.catalog.Behind().Seconds() }),
 		m.Gauge("refused_parts", "Parts of prompts that are refused since crashes are blamed on them.", func() float64 { return float64(len(g.evidence.Parts())) }),
--- a/gateway/operations_test.go
+++ b/gateway/operations_test.go
@@ -17,7 +17,7 @@
 	require.NoError(t, err)
 	patterns := []*regexp.Regexp{
 		regexp.MustCompile(`log\.(?:Info|Warn|Error|Debug)(?:Context\(telemetry\.Routine, |\()"([^"]+)"`),
-		regexp.MustCompile(`\.(?:Count|Latency|Gauge)\("([^"]+)"`),
+		regexp.MustCompile(`\.(?:Count|Latency|Gauge|Ratio)\("([^"]+)"`),
 	}
 	found := 0
 	for _, dir := range []string{"../gateway", "../catalog", "../exchange", "../coordinator", "../cmd/gateway"} {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -300,6 +300,7 @@
 		c.g.quotas.Refund(c.organisation.Name, c.cost, c.g.clock.Now())
 	}
 	c.g.metrics.Refused(r, strconv.Itoa(c.tier))
+	c.measureRefusal(r)
 	c.logEnd("refused", st.code, r)
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
