dispatch: Count a request as overdue by the usual first byte

With three mean deviations of the time to the first byte, requests of the highest tier counted as overdue after half of their objective and were passed by newer ones although most of them would have been in time. The margin is now the mean and one deviation; that of the whole answer, which decides whether an answer can precede the deadline, stays at three. A new load of twice the demand checks that no lower tier is served within 100 ms after a request of a higher one was refused at once: none was, by either rules.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -106,9 +106,9 @@
 func (v *service) patience(r Request, now time.Time) (inTime, whole time.Duration) {
 	t := v.demand.tier(r.Tier, now)
 	objective := float64(r.Objective)
-	inTime = r.Objective - t.first.most()
+	inTime = r.Objective - t.first.plus(firstDeviations)
 	inTime = max(time.Duration(minInTimeRatio*objective), min(inTime, time.Duration(maxInTimeRatio*objective)))
-	return min(inTime, r.Timeout), max(min(inTime, r.Timeout), r.Timeout-t.whole.most())
+	return min(inTime, r.Timeout), max(min(inTime, r.Timeout), r.Timeout-t.whole.plus(wholeDeviations))
 }
 
 // admit is enqueue for an adaptive service: a request may wait for as long as an answer before
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -9,9 +9,10 @@
 	// arrivalWindow is the time constant of the measured arrival rates. It is longer than
 	// the noise of a second and shorter than the bursts that it has to follow.
 	arrivalWindow = 6 * time.Second
-	// deviationFactor times the mean deviation is added to a mean time where most requests,
-	// not just the mean one, must fit.
-	deviationFactor = 3
+	// firstDeviations and wholeDeviations times the mean deviation are added to the mean time
+	// to the first byte and of the whole answer where most requests must fit.
+	firstDeviations = 1
+	wholeDeviations = 3
 )
 
 // demand is what was measured of the requests of a service, for each tier.
@@ -46,9 +47,9 @@
 	}
 }
 
-// most returns a time that most samples do not exceed.
-func (s spread) most() time.Duration {
-	return time.Duration((s.mean + deviationFactor*s.deviation) * float64(time.Second))
+// plus returns the mean and a number of mean deviations.
+func (s spread) plus(deviations float64) time.Duration {
+	return time.Duration((s.mean + deviations*s.deviation) * float64(time.Second))
 }
 
 // tier returns the measurements of a tier and creates them when absent.
--- a/dispatch/hardload_test.go
+++ b/dispatch/hardload_test.go
@@ -86,6 +86,30 @@
 	kill   []context.CancelFunc
 	random *rand.Rand
 	start  time.Time
+	// refusedAt has the last refusal at once of each tier by entry; inversions counts the requests
+	// that were served within inversionTime after one of a higher tier was refused there. A
+	// request whose answer no longer fits before its deadline is refused whatever else is served.
+	refusedAt  [][]time.Time
+	inversions int
+}
+
+const inversionTime = 100 * time.Millisecond
+
+// note counts an inversion, and records a refusal.
+func (r *hardRun) note(entry, rank int, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if refused {
+		r.refusedAt[entry][rank] = now
+		return
+	}
+	for _, at := range r.refusedAt[entry][:rank] {
+		if now.Sub(at) < inversionTime {
+			r.inversions++
+			return
+		}
+	}
 }
 
 const hardSlots = 5
@@ -119,6 +143,9 @@
 		r.down[e.ID] = make(chan struct{})
 	}
 	n := r.entries
+	for range n {
+		r.refusedAt = append(r.refusedAt, make([]time.Time, len(hardTiers)))
+	}
 	r.reports = &reportExchange{
 		simulation: simulation{entries: n, datagramsPerSecond: 400}, schedulers: make([]*dispatch.Scheduler, n),
 		urgent: make([]bool, n), pending: make([]bool, n), datagramTokens: make([]float64, n), lastReport: make([][]time.Time, n),
@@ -301,8 +328,12 @@
 			time.Sleep(300 * time.Millisecond) // Until the loss is noticed.
 			continue
 		case refusal != nil:
+			if time.Since(begin) == 0 {
+				c.run.note(c.home, c.rank, true)
+			}
 			return 0, max(refusal.RetryAfter, time.Millisecond)
 		}
+		c.run.note(c.home, c.rank, false)
 		if c.runAt(g, &answered) {
 			return answered, 0
 		}
@@ -360,7 +391,7 @@
 			t.Logf("%s tier %d: %v", []string{"fixed   ", "adaptive"}[i], rank, &r.tiers[rank])
 			sum += r.tiers[rank].value
 		}
-		t.Logf("%s value %.1f", []string{"fixed   ", "adaptive"}[i], sum)
+		t.Logf("%s value %.1f, inversions %d", []string{"fixed   ", "adaptive"}[i], sum, r.inversions)
 	}
 	return fixed, adaptive
 }
@@ -379,6 +410,14 @@
 	}
 }
 
+// Guards against a lower tier that is served while a higher one is refused, on a load of twice
+// the capacity at its peaks.
+func TestHardLoadServesNoLowerTier(t *testing.T) {
+	fixed, adaptive := hardLoad{entries: 1, scale: 2, duration: 30 * time.Second}.compare(t)
+	require.Zero(t, adaptive.inversions)
+	require.Zero(t, fixed.inversions)
+}
+
 // Guards against an organisation with six times its usual load that takes the part of the others
 // in either group of a tier.
 func TestHardLoadOfOneOrganisation(t *testing.T) {
