Merge the wait of admitted requests until their deadline

TestColdServesHighestTierFirst counts the rate over the whole time, as waiting requests are served after the load.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -226,7 +226,7 @@
 	released := v.released
 	v.released = false
 	v.options = s.options(v, now, v.options[:0])
-	for v.waiting.Len() > 0 && len(passed) < maxPassed && len(v.options) > 0 && !s.reserves(v, v.options, now) {
+	for v.waiting.Len() > 0 && len(passed) < maxPassed && len(v.options) > 0 {
 		it, ok := v.waiting.Pop(now)
 		if !ok {
 			break
