Bound what clients hold in a gateway

Clients that exceeded the limits made a gateway run out of memory: every body was read to the limit into a doubling buffer, and every connection was kept. The gateway now reads bodies through the account of package memory until the deadline of the request, refuses with 503, 408 or 413 and closes the connection without reading the rest, and charges headers and buffered responses too. The size of the account and the bounds of connections follow from limits.memory_mb and limits.max_fds or from three new flags; idle connections to endpoints and the connections of operators and probes are bounded as well. An endpoint gets the body in blocks (upstream.Call.Body). The crowds and bounds are as they were; TestAccountIsEmptyAfterCrowds is new. The gauge of the account is at zero after crowds of all forms have left.

--- a/admin/server.go
+++ b/admin/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"damasktrail.dev/conns"
 	"damasktrail.dev/group"
 )
 
@@ -39,6 +40,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return Serve(listener, h, tasks, onFailure), nil
+}
+
+// Serve serves h on a listener, which may be a [conns.Listener], in a task of the group. It
+// calls onFailure when the server stops for another reason than Shutdown.
+func Serve(listener net.Listener, h http.Handler, tasks *group.Group, onFailure func(error)) *Server {
 	s := &Server{
 		listener: listener,
 		server: &http.Server{
@@ -48,12 +55,15 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 	}
+	if bounded, ok := listener.(*conns.Listener); ok {
+		s.server.ConnState, s.server.ConnContext = bounded.StateChanged, conns.Context
+	}
 	tasks.Go(func(context.Context) {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			onFailure(err)
 		}
 	})
-	return s, nil
+	return s
 }
 
 // Address returns the address on which the server listens.
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -22,6 +22,7 @@
 
 	"damasktrail.dev"
 	"damasktrail.dev/admin"
+	"damasktrail.dev/conns"
 	"damasktrail.dev/gateway"
 	"damasktrail.dev/group"
 	"damasktrail.dev/platform"
@@ -32,19 +33,26 @@
 
 // options are the flags and environment variables.
 type options struct {
-	Settings string `long:"settings" env:"DAMASKTRAIL_BOOT" required:"true" description:"path of the platform's settings file"`
-	Metrics  int    `long:"metrics" env:"DAMASKTRAIL_METRICS" default:"0" description:"port for metrics on the VM's address; 0 serves none"`
-	Level    string `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
+	Settings            string        `long:"settings" env:"DAMASKTRAIL_BOOT" required:"true" description:"path of the platform's settings file"`
+	Metrics             int           `long:"metrics" env:"DAMASKTRAIL_METRICS" default:"0" description:"port for metrics on the VM's address; 0 serves none"`
+	ClientMemoryMB      int           `long:"client-memory-mb" env:"DAMASKTRAIL_CLIENT_MEMORY_MB" default:"0" description:"largest size in MiB of what clients hold: headers, bodies and buffered responses; 0 is a quarter of the memory of the process"`
+	ClientConnections   int           `long:"client-connections" env:"DAMASKTRAIL_CLIENT_CONNECTIONS" default:"0" description:"largest number of callers' connections; 0 follows from the memory and the descriptors of the process"`
+	ClientResponseStall time.Duration `long:"client-response-stall" env:"DAMASKTRAIL_CLIENT_RESPONSE_STALL" default:"30s" description:"longest time in which a caller may take nothing of a response"`
+	Level               string        `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
 }
 
 const (
-	maxPort = 1<<16 - 1
+	maxPort           = 1<<16 - 1
+	maxClientMemoryMB = 1 << 20
 	// memoryLimitFraction is the fraction of the process's memory at which the
 	// garbage collector starts to work harder. The rest is for memory that the limit
 	// of the Go runtime does not count, and for peaks between two collections.
 	memoryLimitFraction = 0.6
 	// dialTimeout limits the time to open a connection to the directory.
 	dialTimeout = 500 * time.Millisecond
+	// operatorWriteTimeout limits the time in which an operator may take nothing of an
+	// answer.
+	operatorWriteTimeout = 30 * time.Second
 	// maxDirectoryHeaderBytes limits the header of an answer of the directory.
 	maxDirectoryHeaderBytes = 32 << 10
 )
@@ -84,7 +92,17 @@
 	if err := setting.Within("--metrics", o.Metrics, 0, maxPort); err != nil {
 		return gateway.Settings{}, err
 	}
-	return platform.ReadSettings(o.Settings)
+	if err := setting.Within("--client-memory-mb", o.ClientMemoryMB, 0, maxClientMemoryMB); err != nil {
+		return gateway.Settings{}, err
+	}
+	s, err := platform.ReadSettings(o.Settings)
+	if err != nil {
+		return s, err
+	}
+	s.Clients = gateway.ClientLimits{
+		MemoryBytes: int64(o.ClientMemoryMB) << 20, Connections: o.ClientConnections, ResponseStall: o.ClientResponseStall,
+	}
+	return s, s.Check()
 }
 
 func newTasks() *group.Group { return group.New(context.Background()) }
@@ -124,7 +142,7 @@
 	return gateway.New(s, d, platform.Dialect{}, clock, timer.Uptime, boot, tasks, m, log)
 }
 
-func serve(lc fx.Lifecycle, stop fx.Shutdowner, o options, s gateway.Settings, g *gateway.Gateway, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) {
+func serve(lc fx.Lifecycle, stop fx.Shutdowner, o options, s gateway.Settings, g *gateway.Gateway, clock damasktrail.Clock, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) {
 	listenerFailed := func(err error) {
 		log.Error("listener failed", "error", err)
 		_ = stop.Shutdown(fx.ExitCode(1))
@@ -135,9 +153,13 @@
 			tasks.Go(func(ctx context.Context) { reload(ctx, o, s, log) })
 			if o.Metrics > 0 {
 				address := net.JoinHostPort(s.Address, strconv.Itoa(o.Metrics))
-				if metrics, err = admin.Listen(address, m.Handler(), tasks, listenerFailed); err != nil {
+				var config net.ListenConfig
+				listener, err := config.Listen(tasks.Context(), "tcp", address)
+				if err != nil {
 					return err
 				}
+				bounded := conns.Listen(listener, clock, conns.Limits{Connections: s.OperatorConnections(), WriteTimeout: operatorWriteTimeout})
+				metrics = admin.Serve(bounded, m.Handler(), tasks, listenerFailed)
 			}
 			return g.Start(listenerFailed)
 		},
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -313,6 +313,20 @@
 	}
 }
 
+// Guards against bytes that are charged and never given back: after crowds of all forms
+// have left, the account is at zero.
+func TestAccountIsEmptyAfterCrowds(t *testing.T) {
+	gateways := newSite(t).start(1, manyFDs)
+	all := forms()
+	all["headers"] = send(strings.TrimSuffix(post("u", ""), "\r\n"), 0, 1, 0)
+	all["slow reader"] = send(strings.Repeat(post("large", length(0)), 16), 0, 1, 0)
+	names := slices.Sorted(maps.Keys(all))
+	c := connect(t, gateways, 3*uploads, func(i int) client { return all[names[i%len(names)]] })
+	require.NotEqual(t, "0", gateways[0].heldBytes())
+	c.leave()
+	require.Eventually(t, func() bool { return gateways[0].heldBytes() == "0" }, startTimeout, 50*time.Millisecond, "held: %s", gateways[0].heldBytes())
+}
+
 // Guards against a limit that a single request inside the configuration meets.
 func TestLargestBody(t *testing.T) {
 	gateways := newSite(t).start(1, maxFDs)
--- a/crowd/harness_test.go
+++ b/crowd/harness_test.go
@@ -274,6 +274,19 @@
 	}
 }
 
+// heldBytes returns the bytes that the account of the process has.
+func (p *process) heldBytes() string {
+	res, err := http.Get("http://" + p.metrics + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer res.Body.Close()
+	data, _ := io.ReadAll(res.Body)
+	_, value, _ := strings.Cut(string(data), "\ndamasktrail_client_bytes ")
+	value, _, _ = strings.Cut(value, "\n")
+	return value
+}
+
 // request sends an ordinary request with a body of n bytes on a new connection.
 func (p *process) request(n int) (status int, body string) {
 	p.t.Helper()
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
+	"damasktrail.dev/memory"
 	"damasktrail.dev/routing"
 	"damasktrail.dev/suspect"
 )
@@ -51,7 +51,11 @@
 	tier          int
 	// serviceName is the name of the service that the route selected.
 	serviceName string
-	body        []byte
+	// body is nil before it is complete. hold is charged with it, nil before it is read.
+	body [][]byte
+	hold *memory.Hold
+	// bodyEnded is true if the rest of the body will not be read.
+	bodyEnded bool
 	// cost is the amount charged to the organisation's quota.
 	cost float64
 	// arrived is the time of arrival, deadline the time from which the answer is
@@ -166,23 +170,6 @@
 	c.deadline = c.arrived.Add(timeout)
 }
 
-func (c *call) readBody(w http.ResponseWriter, limits routing.Limits) *statusError {
-	body := io.Reader(c.request.Body)
-	if limits.BodyBytes > 0 {
-		body = http.MaxBytesReader(w, c.request.Body, limits.BodyBytes)
-	}
-	var err error
-	c.body, err = io.ReadAll(body)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return notRunError(http.StatusRequestEntityTooLarge, damasktrail.ReasonTooLarge, 0, "body exceeds the limit")
-	case err != nil:
-		return notRunError(http.StatusBadRequest, damasktrail.ReasonMalformed, 0, "body cannot be read: "+err.Error())
-	}
-	return nil
-}
-
 // checkAndCharge refuses a request that has crashed endpoints. It charges the cost of
 // an authenticated request to the quota of its organisation.
 func (c *call) checkAndCharge() *statusError {
@@ -233,7 +220,9 @@
 		_, _ = io.WriteString(h, s)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(c.body)
+	for _, block := range c.body {
+		_, _ = h.Write(block)
+	}
 	return h.Sum64()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,11 +20,13 @@
 	"damasktrail.dev"
 	"damasktrail.dev/budget"
 	"damasktrail.dev/catalog"
+	"damasktrail.dev/conns"
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/exchange"
 	"damasktrail.dev/fleet"
 	"damasktrail.dev/group"
+	"damasktrail.dev/memory"
 	"damasktrail.dev/quota"
 	"damasktrail.dev/routing"
 	"damasktrail.dev/suspect"
@@ -79,12 +81,17 @@
 	exchange  *exchange.Exchange
 	// slots gets slots from the coordinators of the fleet, slotServer grants those of
 	// scheduler to other entries.
-	slots           *coordinator.Client
-	slotServer      *coordinator.Server
-	quotas          *quota.Ledger
-	evidence        *suspect.Evidence
-	notices         *fleet.Notices
-	pool            *upstream.Pool
+	slots      *coordinator.Client
+	slotServer *coordinator.Server
+	quotas     *quota.Ledger
+	evidence   *suspect.Evidence
+	notices    *fleet.Notices
+	pool       *upstream.Pool
+	// memory accounts for the bytes that clients hold, callers bounds their connections;
+	// callers is nil before Start. clientCounts is what was last logged.
+	memory          *memory.Account
+	callers         atomic.Pointer[conns.Listener]
+	clientCounts    clientCounts
 	callerServer    *http.Server
 	readinessServer *http.Server
 
@@ -133,6 +140,8 @@
 	}
 	g.drained, g.endDrain = context.WithCancel(tasks.Context())
 	g.pool = upstream.New(clock, tasks, func() { m.Count("connections", 1) })
+	g.pool.LimitIdle(s.MaxFiles * idleParts / descriptorParts)
+	g.memory = memory.New(clock, s.clientLimits().MemoryBytes)
 	g.catalog = catalog.New(directory, clock, uptime, catalogFleet{g}, log, g.applySnapshot)
 	g.scheduler = dispatch.New(clock, s.Name, s.Domain, g.notices, func(urgent bool) { g.exchange.Changed(urgent) })
 	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, g.notices, clock, log)
@@ -143,6 +152,7 @@
 		return nil, err
 	}
 	if err := errors.Join(
+		g.publishClients(),
 		m.Gauge("coordinator", "1 while this gateway grants the slots of its failure domain to others, else 0.", g.coordinates),
 		m.Gauge("table_behind_seconds", "Time since a peer first reported a newer routing table than the one in force, 0 if none has.", func() float64 { return g.catalog.Behind().Seconds() }),
 		m.Gauge("refused_parts", "Parts of prompts that are refused since crashes are blamed on them.", func() float64 { return float64(len(g.evidence.Parts())) }),
@@ -156,9 +166,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       conns.Context,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
-	g.readinessServer = &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	g.readinessServer = &http.Server{Handler: g.readinessHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return g, nil
 }
 
@@ -169,17 +180,27 @@
 			err = fmt.Errorf("start gateway: %w", err)
 		}
 	}()
+	limits := g.settings.clientLimits()
 	for _, l := range []struct {
 		server  *http.Server
 		address string
-	}{{g.callerServer, g.settings.Callers}, {g.readinessServer, g.settings.Ready}} {
+		limits  conns.Limits
+	}{
+		{g.callerServer, g.settings.Callers, conns.Limits{Connections: limits.Connections, WriteTimeout: limits.ResponseStall, Account: g.memory}},
+		{g.readinessServer, g.settings.Ready, conns.Limits{Connections: g.settings.OperatorConnections(), WriteTimeout: limits.ResponseStall, Account: g.memory}},
+	} {
 		var config net.ListenConfig
 		listener, err := config.Listen(g.tasks.Context(), "tcp4", l.address)
 		if err != nil {
 			return err
 		}
+		bounded := conns.Listen(listener, g.clock, l.limits)
+		l.server.ConnState = bounded.StateChanged
+		if l.server == g.callerServer {
+			g.callers.Store(bounded)
+		}
 		g.tasks.Go(func(context.Context) {
-			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 				failed(err)
 			}
 		})
@@ -189,11 +210,13 @@
 	g.exchange.Start(g.tasks)
 	cancel, cancelHoldings := g.clock.Subscribe(housekeepingInterval, g.tick), g.slots.Start()
 	cancelLog := g.clock.Subscribe(refusedPartsInterval, g.logRefusedParts)
+	cancelClients := g.clock.Subscribe(clientReportingInterval, g.logClients)
 	g.tasks.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		cancel()
 		cancelHoldings()
 		cancelLog()
+		cancelClients()
 	})
 	g.log.Info("started", "name", g.settings.Name, "domain", g.settings.Domain, "callers", g.settings.Callers, "peers", g.settings.Peers,
 		"seeds", g.settings.Seeds, "directory", g.settings.Directory, "authenticated", false)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -72,27 +72,28 @@
 
 // forwardBody relays an answer that is not an event stream.
 func (r *relay) forwardBody(a *upstream.Answer, grant *coordinator.Slot) error {
-	prefix, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes))
+	prefix, size, whole, err := r.readPrefix(a)
 	if err != nil {
 		return err
 	}
-	whole := len(prefix) < maxBufferedBytes
 	if whole && r.endedByCrash(a, grant) {
 		return errEndedByCrash
 	}
 	grant.Started()
 	r.call.timeToFirstByte = r.call.g.clock.Now().Sub(r.call.arrived)
 	if whole {
-		r.writer.Header().Set("Content-Length", strconv.Itoa(len(prefix)))
+		r.writer.Header().Set("Content-Length", strconv.Itoa(size))
 	}
 	r.writeHeader(a)
-	if _, err := r.writer.Write(prefix); err != nil { // #nosec G705 -- an endpoint's answer is passed on unchanged.
-		return errCallerGone
+	for _, block := range prefix {
+		if _, err := r.writer.Write(block); err != nil { // #nosec G705 -- an endpoint's answer is passed on unchanged.
+			return errCallerGone
+		}
 	}
 	if whole {
 		return nil
 	}
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, blockBytes)
 	for {
 		n, err := a.Read(buffer)
 		if _, writeErr := r.writer.Write(buffer[:n]); writeErr != nil {
@@ -110,6 +111,13 @@
 	}
 }
 
+func ignoreEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // endStream ends an event stream whose last event has been relayed.
 func (r *relay) endStream(a *upstream.Answer, grant *coordinator.Slot) error {
 	if r.attemptEvents == 0 && !a.Delimited() {
@@ -137,9 +145,12 @@
 // forwardStream relays an event stream, complete events only.
 func (r *relay) forwardStream(a *upstream.Answer, grant *coordinator.Slot) error {
 	s := newEventReader(a)
+	held := cap(s.buffer)
 	control := http.NewResponseController(r.writer)
 	for {
 		b, err := s.next()
+		r.call.hold.Add(int64(cap(s.buffer) - held))
+		held = cap(s.buffer)
 		if errors.Is(err, io.EOF) {
 			return r.endStream(a, grant)
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -38,6 +38,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, st := g.admit(w, r)
+	defer c.releaseMemory()
 	if st != nil {
 		c.refuse(w, st)
 		return
@@ -304,7 +305,7 @@
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	http.Error(w, r.Detail, st.code)
+	c.writeRefusal(w, st)
 }
 
 // logEnd logs the end of a request and records its latencies.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -33,6 +33,11 @@
 	Millicores int
 	// MemoryBytes is the memory limit of the process in bytes; zero when there is none.
 	MemoryBytes int64
+	// MaxFiles is the number of descriptors that the process may open; zero when it is not
+	// known.
+	MaxFiles int
+	// Clients bounds what clients hold.
+	Clients ClientLimits
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// Revocation is how long a key may still be accepted after its removal; zero
@@ -50,6 +55,12 @@
 		setting.Address("peers", s.Peers),
 		setting.Address("directory", s.Directory),
 	}
+	problems = append(problems,
+		setting.Within("limits.max_fds", s.MaxFiles, 0, maxClientConnections),
+		setting.Within("client memory", s.Clients.MemoryBytes, 0, maxClientMemoryBytes),
+		setting.Within("client connections", s.Clients.Connections, 0, maxClientConnections),
+		setting.Within("response stall", s.Clients.ResponseStall, 0, maxResponseStall),
+	)
 	for _, seed := range s.Seeds {
 		problems = append(problems, setting.Address("seeds", seed))
 	}
--- a/refusal.go
+++ b/refusal.go
@@ -26,6 +26,8 @@
 	ReasonUnauthorised Reason = "unauthorised" // the key is missing or unknown
 	ReasonMalformed    Reason = "malformed"    // the request cannot be parsed
 	ReasonTooLarge     Reason = "toolarge"     // the body exceeds the limit
+	ReasonStalled      Reason = "stalled"      // the body was not complete at the deadline
+	ReasonMemory       Reason = "memory"       // clients hold as many bytes as there is room for
 	ReasonNoModel      Reason = "nomodel"      // the document has no such model or service
 	ReasonNoKey        Reason = "nokey"        // non-idempotent request without a ticket
 	ReasonLimit        Reason = "limit"        // a limit of the organisation is reached
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -140,20 +140,30 @@
 	return &Answer{Status: response.StatusCode, Header: response.Header, conn: c, response: response, written: written, stop: stop}, nil
 }
 
+func (c Call) bodySize() (res int) {
+	for _, block := range c.Body {
+		res += len(block)
+	}
+	return res
+}
+
 // write sends the request and returns a channel that receives the result. A
 // request larger than maxInlineWriteBytes is written by a separate goroutine.
 func (c *conn) write(call Call) <-chan error {
 	head := encodeHead(call)
 	written := make(chan error, 1)
-	if len(head)+len(call.Body) <= maxInlineWriteBytes {
-		n, err := c.tcp.Write(append(head, call.Body...))
+	if len(head)+call.bodySize() <= maxInlineWriteBytes {
+		for _, block := range call.Body {
+			head = append(head, block...)
+		}
+		n, err := c.tcp.Write(head)
 		c.sent = n > 0 || err == nil
 		written <- err
 		return written
 	}
 	c.sent = true
 	started := c.pool.tasks.Go(func(context.Context) {
-		buffers := net.Buffers{head, call.Body}
+		buffers := append(net.Buffers{head}, call.Body...)
 		_, err := buffers.WriteTo(c.tcp)
 		written <- err
 	})
@@ -243,9 +253,9 @@
 		b.WriteString(value)
 		b.WriteString("\r\n")
 	})
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+	if call.bodySize() > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(call.Body)))
+		b.WriteString(strconv.Itoa(call.bodySize()))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -87,7 +87,8 @@
 	Method, Target, Host string
 	// Header is sent without its hop-by-hop fields.
 	Header http.Header
-	Body   []byte
+	// Body is the body in blocks, which are not changed.
+	Body [][]byte
 	// Matches says whether a response belongs to this request. It is needed because an
 	// endpoint may send a second response to an earlier request.
 	Matches func(status int, h http.Header) Match
@@ -112,6 +113,8 @@
 
 	mu   sync.Mutex
 	idle map[key][]*conn
+	// idleCount is the number of connections in idle, maxIdle its bound, zero for none.
+	idleCount, maxIdle int
 }
 
 // New returns an empty pool. It calls onOpen once for each new connection.
@@ -119,6 +122,10 @@
 	return &Pool{clock: clock, tasks: tasks, onOpen: onOpen, idle: map[key][]*conn{}}
 }
 
+// LimitIdle bounds the idle connections to all endpoints together; zero is no bound. It is
+// called before the pool is used.
+func (p *Pool) LimitIdle(n int) { p.maxIdle = n }
+
 // Retain closes the idle connections to endpoint processes that are not in the
 // list.
 func (p *Pool) Retain(list fleet.List) {
@@ -132,6 +139,7 @@
 		drop = append(drop, conns...)
 		delete(p.idle, k)
 	}
+	p.idleCount -= len(drop)
 	p.mu.Unlock()
 	for _, c := range drop {
 		c.close()
@@ -157,6 +165,7 @@
 		}
 		p.idle[k] = keep
 	}
+	p.idleCount -= len(drop)
 	p.mu.Unlock()
 	for _, c := range drop {
 		c.close()
@@ -216,6 +225,7 @@
 	for i, c := range slices.Backward(conns) {
 		if c.lastID == "" || c.lastID != requestID {
 			p.idle[k] = slices.Delete(conns, i, i+1)
+			p.idleCount--
 			return c
 		}
 	}
@@ -223,11 +233,12 @@
 }
 
 // release returns a connection to the pool, or closes it if the pool already
-// holds maxIdleConns for its endpoint.
+// holds maxIdleConns for its endpoint or maxIdle in total.
 func (p *Pool) release(c *conn) {
 	p.mu.Lock()
-	full := len(p.idle[c.key]) >= maxIdleConns
+	full := len(p.idle[c.key]) >= maxIdleConns || p.maxIdle > 0 && p.idleCount >= p.maxIdle
 	if !full {
+		p.idleCount++
 		p.idle[c.key] = append(p.idle[c.key], c)
 	}
 	p.mu.Unlock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -78,7 +78,7 @@
 
 func newCall(id, body string) upstream.Call {
 	return upstream.Call{
-		Method: http.MethodPost, Target: "/x?y", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
+		Method: http.MethodPost, Target: "/x?y", Host: "h", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte(body)},
 		Matches: matchID(id),
 	}
 }
