Bound what callers hold in an entry

An entry read each body into a doubling buffer, up to 4,096 at a time, and accepted any number of connections. A body that stalls gets 408 in place of 400, one without room 503 with the reason memory.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -16,6 +18,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/admin"
 	"damasktrail.dev/certificate"
+	"damasktrail.dev/conns"
 	"damasktrail.dev/entry"
 	"damasktrail.dev/group"
 	"damasktrail.dev/set"
@@ -86,6 +89,16 @@
 	return entry.New(s, t, source, clock, tasks, m, log)
 }
 
+// publishClients adds the metrics of what callers hold.
+func publishClients(m *telemetry.Metrics, e *entry.Entry, l *conns.Listener) error {
+	return errors.Join(
+		m.Gauge("client_bytes", "Bytes of headers and bodies that callers hold.", func() float64 { return float64(e.ClientBytes()) }),
+		m.Gauge("client_connections", "Open connections of callers.", func() float64 { return float64(l.Open()) }),
+		m.Gauge("client_connections_closed", "Connections of callers closed to make room for others.", func() float64 { return float64(l.Closed()) }),
+		m.Gauge("client_connections_refused", "New connections of callers closed at once.", func() float64 { return float64(l.Refused()) }),
+	)
+}
+
 func serve(lc fx.Lifecycle, stop fx.Shutdowner, s entry.Settings, e *entry.Entry, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) error {
 	listenerFailed := func(err error) {
 		log.Error("listener failed", "error", err)
@@ -95,10 +108,16 @@
 	if err != nil {
 		return err
 	}
-	callers, err := admin.Listen(s.Callers, e.Callers(), tasks, listenerFailed)
+	var config net.ListenConfig
+	listener, err := config.Listen(tasks.Context(), "tcp", s.Callers)
 	if err != nil {
 		return err
 	}
+	bounded := e.BoundConnections(listener)
+	if err := publishClients(m, e, bounded); err != nil {
+		return err
+	}
+	callers := admin.Serve(bounded, e.Callers(), tasks, listenerFailed)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			e.Start()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"damasktrail.dev/group"
 	"damasktrail.dev/link"
 	"damasktrail.dev/member"
+	"damasktrail.dev/memory"
 	"damasktrail.dev/rollout"
 	"damasktrail.dev/suspect"
 	"damasktrail.dev/telemetry"
@@ -72,11 +73,13 @@
 	// lastLinkCheck is the time of the latest run of checkLinks, the only user of
 	// the field.
 	lastLinkCheck time.Time
-	gate          *gate
-	limits        *limits
-	stats         *requestStats
-	affinity      *affinity
-	evidence      *suspect.Evidence
+	// memory accounts for the headers and bodies that callers hold.
+	memory   *memory.Account
+	gate     *gate
+	limits   *limits
+	stats    *requestStats
+	affinity *affinity
+	evidence *suspect.Evidence
 }
 
 // TLS holds the TLS configurations of an entry's connections.
@@ -114,6 +117,7 @@
 		incarnation: rand.Text(),
 		started:     clock.Now(),
 		events:      make(chan func(*control), eventBuffer),
+		memory:      memory.New(clock, int64(s.ClientMemoryMB)<<20),
 		gate:        newGate(s.MaxOpenRequests),
 		limits:      newLimits(),
 		stats:       newRequestStats(),
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -18,6 +18,8 @@
 	damasktrail.ReasonUnauthorised: http.StatusUnauthorized,
 	damasktrail.ReasonMalformed:    http.StatusBadRequest,
 	damasktrail.ReasonTooLarge:     http.StatusRequestEntityTooLarge,
+	damasktrail.ReasonStalled:      http.StatusRequestTimeout,
+	damasktrail.ReasonMemory:       http.StatusServiceUnavailable,
 	damasktrail.ReasonNoModel:      http.StatusNotFound,
 	damasktrail.ReasonNoKey:        http.StatusPreconditionRequired,
 	damasktrail.ReasonLimit:        http.StatusTooManyRequests,
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,6 +29,7 @@
 	// abort panics with http.ErrAbortHandler on purpose.
 	g := gin.New()
 	g.HandleMethodNotAllowed = true
+	g.Use(releaseMemory)
 	g.POST(chatPath, e.handleChat)
 	g.POST("/v1/completions", e.handleChat)
 	g.GET("/v1/models", e.handleModels)
@@ -72,19 +71,10 @@
 		return s, c, refusal
 	}
 	_ = http.NewResponseController(g.Writer).SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(g.Writer, g.Request.Body, e.settings.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return s, c, &damasktrail.Refusal{
-			Reason: damasktrail.ReasonTooLarge, Outcome: damasktrail.NotRun,
-			Detail: fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit),
-		}
-	}
-	if err != nil {
-		return s, c, malformed("the body cannot be read")
+	if refusal := e.readBody(g, c); refusal != nil {
+		return s, c, refusal
 	}
 	_ = http.NewResponseController(g.Writer).SetReadDeadline(time.Time{})
-	c.body = body
 	return s, c, nil
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -20,6 +20,8 @@
 	Subset          int           `long:"subset" env:"DAMASKTRAIL_SUBSET" default:"11" description:"agents to connect to per model"`
 	MaxOpenRequests int           `long:"open" env:"DAMASKTRAIL_OPEN" default:"4096" description:"requests open at a time"`
 	MaxBodyBytes    int64         `long:"body" env:"DAMASKTRAIL_BODY" default:"1048576" description:"largest request body in bytes"`
+	ClientMemoryMB  int           `long:"client-memory-mb" env:"DAMASKTRAIL_CLIENT_MEMORY_MB" default:"1024" description:"largest size in MiB of the headers and bodies that callers hold"`
+	Connections     int           `long:"client-connections" env:"DAMASKTRAIL_CLIENT_CONNECTIONS" default:"16384" description:"largest number of callers' connections"`
 	Grace           time.Duration `long:"grace" env:"DAMASKTRAIL_GRACE" default:"5m" description:"longest wait for open requests at shutdown"`
 	Level           string        `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
 }
@@ -30,7 +32,10 @@
 	maxSubset       = 1000
 	maxOpenRequests = 1 << 20
 	maxBodyBytes    = 1 << 20
-	maxGrace        = 24 * time.Hour
+	// maxClientMemoryMB and maxConnections bound what callers hold; zero is no bound.
+	maxClientMemoryMB = 1 << 20
+	maxConnections    = 1 << 20
+	maxGrace          = 24 * time.Hour
 )
 
 // Check returns a [*setting.Error] for the first setting that cannot be used.
@@ -46,6 +51,8 @@
 		setting.Within("--subset", s.Subset, 1, maxSubset),
 		setting.Within("--open", s.MaxOpenRequests, 1, maxOpenRequests),
 		setting.Within("--body", s.MaxBodyBytes, 1, maxBodyBytes),
+		setting.Within("--client-memory-mb", s.ClientMemoryMB, 0, maxClientMemoryMB),
+		setting.Within("--client-connections", s.Connections, 0, maxConnections),
 		setting.Within("--grace", s.Grace, 0, maxGrace),
 	)
 }
