--- a/routing/routing.go
+++ b/routing/routing.go
@@ -236,6 +236,16 @@
 	return Route{}, false
 }
 
+// Routes returns all routes by host, those of a host in the order in which [Table.Route]
+// compares them with a path.
+func (t *Table) Routes() []Route {
+	var res []Route
+	for _, host := range slices.Sorted(maps.Keys(t.hosts)) {
+		res = append(res, t.hosts[host]...)
+	}
+	return res
+}
+
 // Service returns the service with the name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, found := t.services[name]
