Check a gateway's configuration with damasktrail table

Operators could check the documents of entries with the command line, but not the configuration of gateways. The command table reads a configuration, the one in force and the settings, prints what tablecheck finds as lines or JSON, and exits with 0, 1 for findings or 2 for files that cannot be read or decoded.

--- a/cmd/damasktrail/main.go
+++ b/cmd/damasktrail/main.go
@@ -16,10 +16,12 @@
 const (
 	exitOK = 0
 	// exitNegative is for documents that differ or are invalid, for processes that
-	// are unreachable or lag, and for requests that no log line names.
+	// are unreachable or lag, for requests that no log line names, and for configurations
+	// with findings.
 	exitNegative = 1
-	exitUsage    = 2
-	// exitFile is for files that cannot be read or written.
+	// exitUsage is for wrong usage, and for files that the table command cannot read or decode.
+	exitUsage = 2
+	// exitFile is for files that other commands cannot read or write.
 	exitFile = 3
 )
 
@@ -49,6 +51,7 @@
 	}{
 		{"check", "Check a document", "Reads a document and lists all its problems.", &check{out: out}},
 		{"diff", "Compare two documents", "Lists the changes that lead from document A to document B.", &diff{out: out}},
+		{"table", "Check a gateway's configuration", "Checks a configuration of the platform as a gateway decodes it, and lists what differs from the one in force.", &tableCommand{out: out}},
 		{"status", "Show entries and agents", "Reads the operators' listeners at the given addresses (host:port) and lists what the processes say of themselves.", &status{out: out, errOut: errOut}},
 		{"trace", "Explain a request", "Finds the lines of the request with the given id in log files, or on standard input, and says how it ended and why.", &tracing{in: os.Stdin, out: out}},
 		{"keys", "Make development certificates", "Makes a development authority where there is none, and a certificate of it for one process.", &keys{out: out}},
@@ -66,7 +69,7 @@
 	if err == nil {
 		return exitOK
 	}
-	if errors.Is(err, errDifferent) || errors.Is(err, errBehind) {
+	if errors.Is(err, errDifferent) || errors.Is(err, errBehind) || errors.Is(err, errFindings) {
 		return exitNegative
 	}
 	if invalid, ok := errors.AsType[*fileInvalidError](err); ok {
@@ -90,6 +93,9 @@
 	if _, ok := errors.AsType[*usageError](err); ok {
 		return exitUsage
 	}
+	if _, ok := errors.AsType[*unusableError](err); ok {
+		return exitUsage
+	}
 	return exitFile
 }
 
