Report attempts that the bound on retries never allows

Package budget now says whether a ratio and a slack can ever allow a retry, and tablecheck reports such routes when settings are given.

--- a/budget/share.go
+++ b/budget/share.go
@@ -29,6 +29,13 @@
 	return res
 }
 
+// AllowsRetry reports whether a share with the given ratio and slack can ever allow a retry.
+// It is that of a fleet of one entry, which has the largest share.
+func AllowsRetry(ratio, slack float64) bool {
+	s := NewShare(ratio, slack, 1)
+	return s.credit >= 1 || s.ratio > 0 && s.maxCredit >= 1
+}
+
 // SetEntries sets the number of entries that share the slack.
 func (s *Share) SetEntries(n int) {
 	s.mu.Lock()
--- a/cmd/damasktrail/table.go
+++ b/cmd/damasktrail/table.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, &unusableError{file: c.Settings, err: err}
 	}
-	return &tablecheck.Settings{Regions: s.Regions, MemoryBytes: s.MemoryBytes}, nil
+	return &tablecheck.Settings{Regions: s.Regions, MemoryBytes: s.MemoryBytes, RetryRatio: s.Retry.Ratio, RetrySlack: s.Retry.Slack}, nil
 }
 
 // decodeError reports a file that is read but that gateways cannot decode.
--- a/tablecheck/tablecheck.go
+++ b/tablecheck/tablecheck.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"damasktrail.dev/budget"
 	"damasktrail.dev/routing"
 )
 
@@ -81,6 +82,9 @@
 	Regions map[string]string
 	// MemoryBytes is the memory that the settings allow a gateway; zero if it is unknown.
 	MemoryBytes int64
+	// RetryRatio and RetrySlack bound the requests that are sent again, as in
+	// [budget.NewShare].
+	RetryRatio, RetrySlack float64
 }
 
 // maxBodyShare is the divisor of the memory that yields the largest body limit that is not
@@ -187,6 +191,9 @@
 	if r.Attempts > 1 && !r.Repeatable() {
 		c.add(KindContradiction, partRoute, r.Name, "It allows %d attempts, but its requests may not be repeated, so that only those that an endpoint did not run are sent again.", r.Attempts)
 	}
+	if s := c.settings; r.Attempts > 1 && s != nil && !budget.AllowsRetry(s.RetryRatio, s.RetrySlack) {
+		c.add(KindContradiction, partRoute, r.Name, "It allows %d attempts, but the retry ratio of %s and the slack of %s in the settings never allow a second one.", r.Attempts, number(s.RetryRatio), number(s.RetrySlack))
+	}
 }
 
 func (c *checker) services() {
--- a/tablecheck/tablecheck_test.go
+++ b/tablecheck/tablecheck_test.go
@@ -20,7 +20,7 @@
 "services":[{"name":"llm","engine":{}},{"name":"app"}],
 "tenants":[{"name":"o1","api_keys":["secret-0001"],"unit":"tokens","uncached_tokens":200,"rate_per_s":100,"burst":300},{"name":"o2","api_keys":["secret-0002"],"rate_per_s":1,"burst":1}]}`
 
-var settings = &tablecheck.Settings{Regions: map[string]string{"z1": "north"}, MemoryBytes: 184 << 20}
+var settings = &tablecheck.Settings{Regions: map[string]string{"z1": "north"}, MemoryBytes: 184 << 20, RetryRatio: 0.1, RetrySlack: 10}
 
 // check returns the lines of the findings of the good configuration after replacements.
 func check(t *testing.T, replacements ...string) []string {
@@ -93,6 +93,22 @@
 	require.Empty(t, check(t, `"rate_per_s":1,"burst":1`, `"burst":0`))
 }
 
+// Guards against attempts that are taken for possible although the settings allow no retry, and
+// the reverse. A share keeps 0.7 of the slack and begins with half of that.
+func TestAttemptsWithoutBudget(t *testing.T) {
+	table, err := platform.DecodeConfig([]byte(good))
+	require.NoError(t, err)
+	for _, c := range []struct {
+		ratio, slack float64
+		found        bool
+	}{{0, 0, true}, {0.1, 1.4, true}, {0.1, 1.5, false}, {0, 1.5, true}, {0, 2.8, true}, {0, 2.9, false}} {
+		got := lines(tablecheck.Check(table, &tablecheck.Settings{Regions: settings.Regions, RetryRatio: c.ratio, RetrySlack: c.slack}))
+		require.Equal(t, c.found, len(got) == 1, c)
+	}
+	require.Equal(t, []string{`contradiction: route "chat": It allows 2 attempts, but the retry ratio of 0.1 and the slack of 1 in the settings never allow a second one.`},
+		lines(tablecheck.Check(table, &tablecheck.Settings{Regions: settings.Regions, RetryRatio: 0.1, RetrySlack: 1})))
+}
+
 // Guards against a change that is not described, and against a key in the output.
 func TestCompare(t *testing.T) {
 	decode := func(text string) *routing.Table {
