--- a/tablecheck/tablecheck_test.go
+++ b/tablecheck/tablecheck_test.go
@@ -90,9 +90,20 @@
 	require.Empty(t, tablecheck.Check(table, nil))
 	require.Empty(t, check(t, `4194304`, `48234496`))
 	require.Empty(t, check(t, `"timeout_ms":6000,`, ``))
+	require.Empty(t, check(t, `"timeout_ms":6000`, `"timeout_ms":800`, `"target_itl_ms":400`, `"target_itl_ms":800`))
 	require.Empty(t, check(t, `"rate_per_s":1,"burst":1`, `"burst":0`))
 }
 
+// Guards against a failure domain without a region that is taken for one in a region without a
+// name.
+func TestUnknownRegion(t *testing.T) {
+	table, err := platform.DecodeConfig([]byte(strings.Replace(good, "north", "", 1)))
+	require.NoError(t, err)
+	got := tablecheck.Check(table, &tablecheck.Settings{Regions: map[string]string{"z1": ""}, RetryRatio: 0.1, RetrySlack: 10})
+	require.Len(t, got, 1)
+	require.Equal(t, tablecheck.KindUnreachable, got[0].Kind)
+}
+
 // Guards against attempts that are taken for possible although the settings allow no retry, and
 // the reverse. A share keeps 0.7 of the slack and begins with half of that.
 func TestAttemptsWithoutBudget(t *testing.T) {
