--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -13,6 +13,9 @@
 	// wait and still count as one that can be in time.
 	minInTimeRatio = 0.5
 	maxInTimeRatio = 0.9
+	// maxDeadlineRatio bounds the part of its deadline that a request may wait: a refusal
+	// after three quarters of it is worth no more to the caller than none.
+	maxDeadlineRatio = 0.75
 	// minSpareRatio is the part of the capacity that must be left by the arrivals for a
 	// prediction of when the backlog ends.
 	minSpareRatio = 0.05
@@ -109,7 +112,8 @@
 	inTime = r.Objective - t.first.plus(firstDeviations)
 	inTime = max(time.Duration(minInTimeRatio*objective), min(inTime, time.Duration(maxInTimeRatio*objective)))
 	inTime = min(inTime, r.Timeout)
-	return inTime, max(inTime, r.Timeout-t.whole.plus(wholeDeviations))
+	latest := min(r.Timeout-t.whole.plus(wholeDeviations), time.Duration(maxDeadlineRatio*float64(r.Timeout)))
+	return inTime, max(inTime, latest)
 }
 
 // admit is enqueue for an adaptive service: a request may wait for as long as an answer before
--- a/dispatch/hardload_test.go
+++ b/dispatch/hardload_test.go
@@ -399,6 +399,7 @@
 // Guards against rules that serve fewer callers than the fixed ones in bursts of the lowest and
 // of the highest tier amid swings, with a retry of each refused caller.
 func TestHardLoad(t *testing.T) {
+	t.Parallel()
 	for _, f := range []hardLoad{
 		{entries: 1, scale: 1, duration: 45 * time.Second},
 		{entries: 1, scale: 1.25, duration: 45 * time.Second},
@@ -413,6 +414,7 @@
 // Guards against a lower tier that is served while a higher one is refused, on a load of twice
 // the capacity at its peaks.
 func TestHardLoadServesNoLowerTier(t *testing.T) {
+	t.Parallel()
 	fixed, adaptive := hardLoad{entries: 1, scale: 2, duration: 30 * time.Second}.compare(t)
 	require.Zero(t, adaptive.inversions)
 	require.Zero(t, fixed.inversions)
@@ -421,6 +423,7 @@
 // Guards against an organisation with six times its usual load that takes the part of the others
 // in either group of a tier.
 func TestHardLoadOfOneOrganisation(t *testing.T) {
+	t.Parallel()
 	fixed, adaptive := hardLoad{entries: 1, scale: 0.7, heavy: true, duration: 45 * time.Second}.compare(t)
 	for i := range 5 {
 		org := fmt.Sprint("o", i)
@@ -437,6 +440,7 @@
 // Guards against waiting requests that are served late or refused at the end of their time since
 // a third of the endpoints are lost for 4 s at the peak.
 func TestHardLoadAmidLostEndpoints(t *testing.T) {
+	t.Parallel()
 	for _, entries := range []int{1, 4} {
 		fixed, adaptive := hardLoad{entries: entries, scale: 1, lostEndpoints: 13, lossAt: 18 * time.Second, duration: 30 * time.Second}.compare(t)
 		adaptive.requireBetter(t, fixed, 10)
@@ -446,6 +450,7 @@
 // Guards against a loss of callers beyond those of the lost entries: two of four are lost during
 // a burst, and their callers ask others.
 func TestHardLoadAmidLostCoordinators(t *testing.T) {
+	t.Parallel()
 	fixed, adaptive := hardLoad{entries: 4, scale: 1, lostEntries: 2, lossAt: 20 * time.Second, duration: 30 * time.Second}.compare(t)
 	adaptive.requireBetter(t, fixed, 10)
 }
--- a/dispatch/limiter_test.go
+++ b/dispatch/limiter_test.go
@@ -189,6 +189,7 @@
 // Guards against entries that exceed the limit of an endpoint together, and against a limit
 // that is not used or draws requests while other endpoints are free.
 func TestLimitIsDivided(t *testing.T) {
+	t.Parallel()
 	const settled = 5 * time.Second
 	for _, l := range []limitedLoad{
 		{entries: 1, endpoints: 3, limited: 1, perSecond: 1.1, interval: 20 * time.Millisecond},
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -244,6 +244,7 @@
 
 // Guards against a policy that works for one fleet size only.
 func TestFleetSizes(t *testing.T) {
+	t.Parallel()
 	for _, f := range []simulation{
 		{entries: 1, engines: 3, requestsPerSecond: 30},
 		{entries: 3, engines: 12, requestsPerSecond: 120},
--- a/dispatch/placement_test.go
+++ b/dispatch/placement_test.go
@@ -440,6 +440,7 @@
 // soon. Two of three engines are fast, prompts and responses differ a hundredfold, and the
 // load is 40, 80 and 120% of the capacity. Disturbances cover 15% of the time.
 func TestUnevenEndpoints(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{100, 195, 290} {
 		l := unevenLoad{coordinators: 4, engines: 40, requestsPerSecond: rate, duration: 12 * time.Second, disturbed: 0.15}
 		present, adaptive, presentWorth, worth := l.compare(t)
@@ -454,6 +455,7 @@
 // Guards against requests that are sent to endpoints while they are disturbed: they take 2.5
 // times as long in 30% of the time, some hundred milliseconds at a time.
 func TestDisturbedEndpoints(t *testing.T) {
+	t.Parallel()
 	l := unevenLoad{coordinators: 4, engines: 40, requestsPerSecond: 150, duration: 12 * time.Second, disturbed: 0.3, seed: 3}
 	present, adaptive, _, _ := l.compare(t)
 	require.Less(t, 1-adaptive[0].value, (1-present[0].value)/2, "the highest tier loses half as much")
@@ -462,6 +464,7 @@
 // Guards against figures that are trusted after they have become stale: they are a second
 // old when the scheduler learns them, longer than a disturbance lasts.
 func TestStaleFigures(t *testing.T) {
+	t.Parallel()
 	l := unevenLoad{coordinators: 4, engines: 40, requestsPerSecond: 170, duration: 12 * time.Second, disturbed: 0.15, staleness: time.Second, seed: 4}
 	present, adaptive, _, _ := l.compare(t)
 	require.Less(t, 1-adaptive[0].value, 0.7*(1-present[0].value), "the highest tier loses less")
@@ -470,6 +473,7 @@
 // Guards against coordinators that all choose the same endpoint, since all know it to be the
 // best: the engines together have a slot for each request.
 func TestCoordinatorsChooseDifferentEndpoints(t *testing.T) {
+	t.Parallel()
 	l := unevenLoad{coordinators: 4, engines: 24, requestsPerSecond: 110, duration: 12 * time.Second, seed: 5}
 	present, adaptive, _, _ := l.compare(t)
 	count := func(of [3]summary) (full, asked int) {
@@ -486,6 +490,7 @@
 // Guards against a choice that needs stated figures, where the configuration asks for it, and
 // against one that fits large fleets only: twelve engines at three entries with equal turns.
 func TestWithoutFiguresInSmallFleet(t *testing.T) {
+	t.Parallel()
 	l := unevenLoad{coordinators: 3, engines: 12, requestsPerSecond: 75, duration: 20 * time.Second, disturbed: 0.15, equal: true, seed: 6}
 	_, presentWorth := summarise(l.play(t))
 	l.paced = true
