Ramp up endpoints that have started or recovered

An endpoint that has just started or recovered was offered all its slots at once, and each gateway tried it on its own. In adaptive services the gateways that own an endpoint now begin with one request in flight for the whole fleet; the number doubles with each round of responses in time, halves on failures and slow responses, and the ramp-up ends at the slots. Scheduler.allowance states how much an endpoint gets and why.

Requests that may not be repeated avoid such endpoints while another can take them (dispatch.Request.Repeatable, the last field of an ask), and a loss that grows with prompt and output sends short requests there first. Where more than half of a service ramps up, half of the slots are given at once.

--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -76,6 +76,7 @@
 	Output         int
 	PauseNanos     int64
 	Whole          bool
+	Repeatable     bool
 }
 
 // closure is the wire format of a fleet.Closure. RemainingNanos is negative if the closure
@@ -122,7 +123,7 @@
 		Regions: boundRegions(r.Regions),
 		Service: r.Service, Engine: r.Engine, Organisation: r.Organisation, Tier: r.Tier,
 		ObjectiveNanos: int64(r.Objective), TimeoutNanos: int64(r.Timeout), Prompt: r.Prompt, Avoid: r.Avoid,
-		Output: r.Output, PauseNanos: int64(r.Pause), Whole: r.Whole,
+		Output: r.Output, PauseNanos: int64(r.Pause), Whole: r.Whole, Repeatable: r.Repeatable,
 	}
 	for _, c := range r.Closed {
 		remaining := int64(c.Remaining)
@@ -160,7 +161,7 @@
 	res := dispatch.Request{
 		Service: a.Service, Engine: a.Engine, Organisation: a.Organisation, Tier: a.Tier,
 		Objective: time.Duration(a.ObjectiveNanos), Timeout: max(0, time.Duration(a.TimeoutNanos)), Prompt: a.Prompt, Avoid: a.Avoid, Client: client, Regions: a.Regions,
-		Output: min(max(0, a.Output), maxOutput), Pause: min(max(0, time.Duration(a.PauseNanos)), maxPause), Whole: a.Whole,
+		Output: min(max(0, a.Output), maxOutput), Pause: min(max(0, time.Duration(a.PauseNanos)), maxPause), Whole: a.Whole, Repeatable: a.Repeatable,
 	}
 	for _, c := range a.Closed[:min(len(a.Closed), maxClosures)] {
 		remaining := time.Duration(c.RemainingNanos)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -117,6 +117,8 @@
 	// Regions has lists of the regions in which the request may run. Each list applies; an
 	// empty one restricts nothing.
 	Regions [][]string
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
 }
 
 // WithElapsed returns the request as it is after a time has passed.
@@ -157,6 +159,9 @@
 	demand demand
 	// lastSlots is the supply at the last evaluation of the waiting requests.
 	lastSlots float64
+	// mostRamping says that more than half of the endpoints in use ramped up at rampChecked.
+	mostRamping bool
+	rampChecked time.Time
 }
 
 // waiter is a waiting request.
@@ -188,6 +193,10 @@
 
 	mu       sync.Mutex
 	services map[string]*service
+	// listKnown says that there was a list of endpoints before.
+	listKnown bool
+	// rampUpOff switches the ramp-up off, for comparison in tests.
+	rampUpOff bool
 	// peers has the last report of each peer, peerLoads the sum of their loads by
 	// endpoint ID.
 	peers     map[string]Report
@@ -239,9 +248,11 @@
 			v.endpoints[e.ID] = old
 		}
 		old.learnEntry(e, found)
+		s.rampNew(old, found)
 		old.Endpoint = e
 		s.locate(old)
 	}
+	s.listKnown = s.listKnown || len(list.All()) > 0
 	for _, v := range s.services {
 		names := make([]string, 0, len(v.endpoints))
 		for id := range v.endpoints {
@@ -310,6 +321,7 @@
 	s.mu.Lock()
 	v := s.service(r.Service)
 	v.engine = r.Engine
+	s.learnPauses(v, r, w.arrived)
 	id, maxWait, refusal := s.enqueue(v, w)
 	s.mu.Unlock()
 	if refusal != nil {
@@ -487,13 +499,9 @@
 // freeSlots returns the number of requests that this entry may send to an endpoint
 // now.
 func (s *Scheduler) freeSlots(v *service, e *endpoint, now time.Time) int {
-	if !e.usable() || now.Before(e.backoffUntil) || v.health.Ejected(e.ID, now) || e.stalled(now) {
-		return 0
-	}
-	if e.failures > 0 {
-		return e.cap(max(0, 1-len(e.grants)), now)
-	}
-	return e.cap(max(0, v.capacity(e)-s.inFlight(e)), now)
+	s.updateRamp(v, e, now)
+	n, _ := s.allowance(v, e, now)
+	return n
 }
 
 // choose returns the candidate that is expected to send the first byte soonest.
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -32,6 +32,8 @@
 	// during one. It is nil otherwise.
 	cold        coldState
 	coldLimiter *limiter
+	// ramp has the state of its ramp-up.
+	ramp rampUp
 	// evacuated says that nothing is sent to its failure domain.
 	evacuated bool
 	// region is that of its failure domain, empty if it is unknown.
--- a/dispatch/grant.go
+++ b/dispatch/grant.go
@@ -82,9 +82,10 @@
 	s := g.scheduler
 	s.mu.Lock()
 	g.state(load)
-	g.measureFirst(s.clock.Now())
-	g.started = true
 	now := s.clock.Now()
+	g.rampFirst(now)
+	g.measureFirst(now)
+	g.started = true
 	g.recordFirst(now)
 	g.refuteSuspicion(g.service.endpoints[g.Endpoint.ID], minSurvival, now)
 	s.mu.Unlock()
@@ -132,6 +133,7 @@
 func (g *Grant) updateEndpoint(e *endpoint, result Result, pace time.Duration, now time.Time) {
 	v := g.service
 	g.updateCold(e, result, now)
+	g.updateRamp(e, result, now)
 	switch result {
 	case Answered:
 		e.lastUse[g.client] = now
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -175,6 +175,7 @@
 		res[TimeFactor] += foreignLoss
 	}
 	res[TimeFactor] += spreadLoss * min(e.draw(s.name), 1)
+	res[TimeFactor] += e.rampLoss(r)
 	if e.limiter != nil && now.Sub(e.freeSince) > unusedLimitTime {
 		res[TimeFactor] -= unusedLimitGain
 	}
@@ -288,9 +289,10 @@
 // wait for it: zero to take it now. It returns none if no endpoint takes the request now.
 func (s *Scheduler) bestOption(v *service, w *waiter, passed int, now time.Time) (best *option, wait time.Duration) {
 	var soonest *option
+	spares := v.sparesRamping(w, now)
 	for i := range v.options {
 		o := &v.options[i]
-		if o.free <= 0 || !w.takenBy(o.endpoint, now) {
+		if o.free <= 0 || !w.takenBy(o.endpoint, now) || spares && o.endpoint.ramping() {
 			continue
 		}
 		o.loss = s.losses(v, w, o.endpoint, o.wait, now)
@@ -371,7 +373,7 @@
 
 // takesRequests reports whether an endpoint takes requests apart from its free slots.
 func (s *Scheduler) takesRequests(v *service, e *endpoint, now time.Time) bool {
-	return e.usable() && !now.Before(e.backoffUntil) && e.failures == 0 && !e.limited() && !v.health.Ejected(e.ID, now) && !e.stalled(now)
+	return e.usable() && !now.Before(e.backoffUntil) && !e.ramping() && !e.limited() && !v.health.Ejected(e.ID, now) && !e.stalled(now)
 }
 
 // grantOption gives a request a slot of the best option.
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -42,7 +42,7 @@
 			res.nextToken = min(res.nextToken, e.nextToken(now))
 		}
 		res.slots += slots
-		res.free += e.cap(max(0, v.capacity(e)-s.inFlight(e)), now)
+		res.free += e.cap(max(0, s.rampCapacity(v, e, now)-s.inFlight(e)), now)
 	}
 	return res
 }
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -260,6 +260,7 @@
 		Whole:        c.route.Kind != routing.Streaming,
 		Avoid:        c.avoid,
 		Regions:      c.regions(),
+		Repeatable:   c.route.Repeatable(),
 	})
 	c.waitTime += c.g.clock.Now().Sub(now)
 	if refusal != nil && c.g.drained.Err() != nil && ctx.Err() == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,8 @@
 	lostRequests *lostRequests
 	// refusedParts has the parts of prompts that were refused when last logged.
 	refusedParts []suspect.Feature
+	// rampingEndpoints has the endpoints that were ramping up when last logged.
+	rampingEndpoints []string
 	// coldEndpoints has the endpoints that were cold when last logged.
 	coldEndpoints []string
 	// retryShares has the retry share of each service by name.
@@ -165,6 +167,7 @@
 		m.Gauge("limited_endpoints", "Endpoints that limit the rate of requests, as this gateway knows.", func() float64 { return float64(len(g.notices.Limited())) }),
 		m.Gauge("evacuated_domains", "Failure domains to which this gateway sends nothing.", func() float64 { return float64(len(g.scheduler.EvacuatedDomains())) }),
 		m.Gauge("cold_endpoints", "Endpoints that are, or may be, in their cold start, as this gateway knows.", func() float64 { return float64(len(g.scheduler.ColdEndpoints())) }),
+		m.Gauge("ramping_endpoints", "Endpoints that ramp up after a start or a recovery, as this gateway knows.", func() float64 { return float64(len(g.scheduler.RampingEndpoints())) }),
 		m.Gauge("members", "Live gateways that this one knows, itself included.", func() float64 { return float64(1 + len(g.exchange.Peers())) }),
 	); err != nil {
 		return nil, err
@@ -219,6 +222,7 @@
 	cancel, cancelHoldings := g.clock.Subscribe(housekeepingInterval, g.tick), g.slots.Start()
 	cancelLog := g.clock.Subscribe(refusedPartsInterval, g.logRefusedParts)
 	cancelCold := g.clock.Subscribe(coldLogInterval, g.logCold)
+	cancelRamping := g.clock.Subscribe(rampLogInterval, g.logRamping)
 	cancelClients := g.clock.Subscribe(clientReportingInterval, g.logClients)
 	g.tasks.Go(func(ctx context.Context) {
 		<-ctx.Done()
@@ -226,6 +230,7 @@
 		cancelHoldings()
 		cancelLog()
 		cancelCold()
+		cancelRamping()
 		cancelClients()
 	})
 	g.log.Info("started", "name", g.settings.Name, "domain", g.settings.Domain, "callers", g.settings.Callers, "peers", g.settings.Peers,
