--- a/dispatch/rampup_test.go
+++ b/dispatch/rampup_test.go
@@ -232,3 +232,33 @@
 		})
 	}
 }
+
+// Guards against requests that may not be repeated at an endpoint that ramps up while another can
+// take them, against a gateway that ramps up all endpoints since it has just started, and against
+// an allowance that does not name what bounds it.
+func TestRampUpChoice(t *testing.T) {
+	runVirtual(t, endpoints(2, 4), func(s *dispatch.Scheduler) {
+		s.SetAdaptive("llm", true)
+		s.Tick()
+		require.Empty(t, s.RampingEndpoints())
+		s.SetEndpoints(endpoints(3, 4))
+		require.Equal(t, []string{"e2"}, s.RampingEndpoints())
+		n, reason := s.Allowance("e2")
+		require.Equal(t, 1, n)
+		require.Equal(t, dispatch.AllowedRampUp, reason)
+		var grants []*dispatch.Grant
+		for range 8 {
+			g := acquire(t, s, request(0))
+			require.NotEqual(t, "e2", g.Endpoint.ID)
+			grants = append(grants, g)
+		}
+		g := acquire(t, s, request(0))
+		require.Equal(t, "e2", g.Endpoint.ID, "no other endpoint can take it")
+		g.Done(dispatch.Failed, 0)
+		n, _ = s.Allowance("e2")
+		require.Equal(t, 1, n)
+		s.SetEvacuated([]string{grants[0].Endpoint.Domain})
+		_, reason = s.Allowance("e2")
+		require.Equal(t, dispatch.AllowedLeaving, reason)
+	})
+}
