--- a/dispatch/export_test.go
+++ b/dispatch/export_test.go
@@ -1,4 +1,4 @@
 package dispatch
 
-// DisableRampUp switches the ramp-up of endpoints off, for comparison.
-func (s *Scheduler) DisableRampUp() { s.rampUpOff = true }
+// DisableRampUp sets whether the ramp-up of endpoints is off, for comparison.
+func (s *Scheduler) DisableRampUp(off bool) { s.rampUpOff = off }
--- a/dispatch/rampup_test.go
+++ b/dispatch/rampup_test.go
@@ -37,8 +37,7 @@
 	// firstSecond is the most requests in flight at a fresh endpoint in its first 500 ms.
 	firstSecond int
 	// full says when a fresh endpoint first ran as many requests as it has slots.
-	full    time.Duration
-	ramping []string
+	full time.Duration
 }
 
 type rampEndpoint struct {
@@ -63,16 +62,14 @@
 				first = first.With(e)
 			}
 		}
-		for i := range l.entries {
-			names = append(names, fmt.Sprint("entry", i))
+		for range l.entries {
+			names = append(names, fmt.Sprint("entry", len(names)))
 		}
 		for i, name := range names {
 			s := dispatch.New(clock, name, "here", fleet.NewNotices(), func(bool) {})
 			s.SetFleet(dispatch.Fleet{Assigning: names})
 			s.SetAdaptive("llm", true)
-			if l.off {
-				s.DisableRampUp()
-			}
+			s.DisableRampUp(l.off)
 			s.SetEndpoints(first)
 			schedulers = append(schedulers, s)
 			clock.Subscribe(max(10, time.Duration(2*l.entries))*time.Millisecond, func(time.Time) {
@@ -89,17 +86,15 @@
 			close(e.crashed)
 			*e = rampEndpoint{start: time.Now().Add(2 * time.Second), crashed: make(chan struct{})}
 		}
-		if l.fresh > 0 {
-			clock.Schedule(3*time.Second, func(now time.Time) {
-				for i := range l.fresh {
-					state[fmt.Sprint("e", i)].start = now
-				}
-				for _, s := range schedulers {
-					s.SetEndpoints(list)
-				}
-			})
-		}
-		for at := 3 * time.Second; at < 20*time.Second && l.crashing > 0; at += 6 * time.Second {
+		clock.Schedule(3*time.Second, func(now time.Time) {
+			for i := range l.fresh {
+				state[fmt.Sprint("e", i)].start = now
+			}
+			for _, s := range schedulers {
+				s.SetEndpoints(list)
+			}
+		})
+		for at := 3 * time.Second; at < 20*time.Second && (at < 4*time.Second || !l.restarting); at += 6 * time.Second {
 			clock.Schedule(at, func(time.Time) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -107,11 +102,8 @@
 					crash(state[fmt.Sprint("e", i)])
 				}
 			})
-			if l.restarting {
-				break
-			}
 		}
-		serve := func(g *dispatch.Grant, random float64) (result dispatch.Result, took time.Duration) {
+		serve := func(g *dispatch.Grant, random float64) (dispatch.Result, time.Duration) {
 			mu.Lock()
 			e, now := state[g.Endpoint.ID], time.Now()
 			since := now.Sub(e.start)
@@ -135,41 +127,35 @@
 				mu.Unlock()
 				return dispatch.Broken, 0
 			}
-			firstByte := time.Duration(float64(100*time.Millisecond) * max(1, float64(e.inFlight)/float64(bears)))
+			crashed, firstByte := e.crashed, time.Duration(float64(100*time.Millisecond)*max(1, float64(e.inFlight)/float64(bears)))
 			if !e.warm && since < l.slowFirst {
 				firstByte = 700 * time.Millisecond
 			}
-			crashed := e.crashed
 			mu.Unlock()
-			hold := firstByte + time.Duration((0.2+0.4*random)*float64(time.Second))
-			select {
-			case <-crashed:
-				return dispatch.Broken, 0
-			case <-time.After(firstByte):
-			}
-			g.Started(fleet.StatedLoad{})
-			result = dispatch.Answered
-			select {
-			case <-crashed:
-				return dispatch.Broken, 0
-			case <-time.After(hold - firstByte):
+			for i, wait := range []time.Duration{firstByte, time.Duration((0.2 + 0.4*random) * float64(time.Second))} {
+				select {
+				case <-crashed:
+					return dispatch.Broken, 0
+				case <-time.After(wait):
+				}
+				if i == 0 {
+					g.Started(fleet.StatedLoad{})
+				}
 			}
 			mu.Lock()
+			defer mu.Unlock()
 			e.inFlight--
-			mu.Unlock()
-			return result, firstByte
+			return dispatch.Answered, firstByte
 		}
 		random, requests := rand.New(rand.NewPCG(7, 8)), group.New(context.Background())
 		for time.Since(begin) < 20*time.Second {
 			time.Sleep(time.Duration(random.ExpFloat64() / l.perSecond * float64(time.Second)))
 			s, x := schedulers[random.IntN(len(schedulers))], random.Float64()
 			requests.Go(func(ctx context.Context) {
-				asked := time.Now()
-				r := request(0)
+				asked, r := time.Now(), request(0)
 				r.Repeatable = true
 				g, refusal := s.Acquire(ctx, r)
-				waited := time.Since(asked)
-				result, took := dispatch.Cancelled, time.Duration(0)
+				waited, result, took := time.Since(asked), dispatch.Cancelled, time.Duration(0)
 				if refusal == nil {
 					result, took = serve(g, x)
 					g.Done(result, 0)
@@ -190,9 +176,6 @@
 			})
 		}
 		requests.Wait()
-		for _, s := range schedulers {
-			res.ramping = append(res.ramping, s.RampingEndpoints()...)
-		}
 		tasks.Close()
 	})
 	return res
@@ -214,8 +197,7 @@
 			with := l.play(t)
 			l.off = true
 			without := l.play(t)
-			t.Logf("with    %+v", with)
-			t.Logf("without %+v", without)
+			t.Logf("with %+v\nwithout %+v", with, without)
 			if l.restarting {
 				// Half of the slots are more than these endpoints bear, with and without: the
 				// guard is against a service that is left idle.
