--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -36,6 +36,7 @@
 	Settings            string        `long:"settings" env:"DAMASKTRAIL_BOOT" required:"true" description:"path of the platform's settings file"`
 	Metrics             int           `long:"metrics" env:"DAMASKTRAIL_METRICS" default:"0" description:"port for metrics on the VM's address; 0 serves none"`
 	ClientMemoryMB      int           `long:"client-memory-mb" env:"DAMASKTRAIL_CLIENT_MEMORY_MB" default:"0" description:"largest size in MiB of what clients hold: headers, bodies and buffered responses; 0 is a quarter of the memory of the process"`
+	RampUp              bool          `long:"ramp-up" env:"DAMASKTRAIL_RAMP_UP" description:"ramp up endpoints of adaptive services that have started or recovered"`
 	ClientConnections   int           `long:"client-connections" env:"DAMASKTRAIL_CLIENT_CONNECTIONS" default:"0" description:"largest number of callers' connections; 0 follows from the memory and the descriptors of the process"`
 	ClientResponseStall time.Duration `long:"client-response-stall" env:"DAMASKTRAIL_CLIENT_RESPONSE_STALL" default:"30s" description:"longest time in which a caller may take nothing of a response"`
 	Level               string        `long:"log" env:"DAMASKTRAIL_LOG" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"log level"`
@@ -99,6 +100,7 @@
 	if err != nil {
 		return s, err
 	}
+	s.RampUp = o.RampUp
 	s.Clients = gateway.ClientLimits{
 		MemoryBytes: int64(o.ClientMemoryMB) << 20, Connections: o.ClientConnections, ResponseStall: o.ClientResponseStall,
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -195,8 +195,9 @@
 	services map[string]*service
 	// listKnown says that there was a list of endpoints before.
 	listKnown bool
-	// rampUpOff switches the ramp-up off, for comparison in tests.
-	rampUpOff bool
+	// rampUp says that endpoints of adaptive services that have started or recovered are
+	// ramped up.
+	rampUp bool
 	// peers has the last report of each peer, peerLoads the sum of their loads by
 	// endpoint ID.
 	peers     map[string]Report
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -373,7 +373,7 @@
 
 // takesRequests reports whether an endpoint takes requests apart from its free slots.
 func (s *Scheduler) takesRequests(v *service, e *endpoint, now time.Time) bool {
-	return e.usable() && !now.Before(e.backoffUntil) && !e.ramping() && !e.limited() && !v.health.Ejected(e.ID, now) && !e.stalled(now)
+	return e.usable() && !now.Before(e.backoffUntil) && e.failures == 0 && !e.ramp.active && !e.limited() && !v.health.Ejected(e.ID, now) && !e.stalled(now)
 }
 
 // grantOption gives a request a slot of the best option.
--- a/dispatch/rampup.go
+++ b/dispatch/rampup.go
@@ -73,9 +73,17 @@
 	opened bool
 }
 
+// SetRampUp sets whether endpoints of adaptive services that have started or recovered are
+// ramped up.
+func (s *Scheduler) SetRampUp(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rampUp = on
+}
+
 // rampNew lets an endpoint ramp up that is new to a list that was known before.
 func (s *Scheduler) rampNew(e *endpoint, found bool) {
-	if !found && s.listKnown {
+	if s.rampUp && !found && s.listKnown {
 		e.ramp = rampUp{away: true, allowance: 1}
 	}
 }
@@ -84,7 +92,7 @@
 func (s *Scheduler) updateRamp(v *service, e *endpoint, now time.Time) {
 	r := &e.ramp
 	switch {
-	case !v.adaptive(now) || s.rampUpOff:
+	case !s.rampUp || !v.adaptive(now):
 		*r = rampUp{}
 	case !e.usable() || e.failures > 0 || v.health.Ejected(e.ID, now) || s.paused(e, now) || v.isCold(e, now):
 		if !r.away {
@@ -345,7 +353,7 @@
 }
 
 // ramping reports whether an endpoint ramps up or is tried after failures.
-func (e *endpoint) ramping() bool { return e.ramp.active || e.failures > 0 }
+func (e *endpoint) ramping() bool { return e.ramp.active || e.ramp.away && e.failures > 0 }
 
 // rampLoss returns the expected loss of a request at an endpoint that ramps up, by which short
 // requests go there first.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -37,6 +37,9 @@
 	// MaxFiles is the number of descriptors that the process may open; zero when it is not
 	// known.
 	MaxFiles int
+	// RampUp says that endpoints that have started or recovered get few requests at first,
+	// in adaptive services.
+	RampUp bool
 	// Clients bounds what clients hold.
 	Clients ClientLimits
 	// Grace is the time between SIGTERM and SIGKILL.
