Build the gateways of the ramp-up load before their timers read them

All gateways are built first now. A request that finds no endpoint in an adaptive service is told to come back later while a failure domain is evacuated, as in other services.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -127,7 +127,7 @@
 	if available.slots == 0 || available.limited && available.retried {
 		wait, known := v.shortestClosure(w, now)
 		if !known {
-			return "", 0, refuse(damasktrail.ReasonNotReady, minRetryAfter, "the service %q has no endpoint that takes requests of this entry", r.Service)
+			return "", 0, refuse(damasktrail.ReasonNotReady, v.absence(), "the service %q has no endpoint that takes requests of this entry", r.Service)
 		}
 		available.slots = max(1, available.slots)
 		available.nextToken, available.limited = wait, true
--- a/dispatch/rampup_test.go
+++ b/dispatch/rampup_test.go
@@ -65,17 +65,19 @@
 		for range l.entries {
 			names = append(names, fmt.Sprint("entry", len(names)))
 		}
-		for i, name := range names {
+		for _, name := range names {
 			s := dispatch.New(clock, name, "here", fleet.NewNotices(), func(bool) {})
 			s.SetFleet(dispatch.Fleet{Assigning: names})
 			s.SetAdaptive("llm", true)
 			s.SetRampUp(!l.off)
 			s.SetEndpoints(first)
 			schedulers = append(schedulers, s)
+		}
+		for i, s := range schedulers {
 			clock.Subscribe(max(10, time.Duration(2*l.entries))*time.Millisecond, func(time.Time) {
 				for j, o := range schedulers {
 					if i != j {
-						o.SetPeer(name, s.Report())
+						o.SetPeer(names[i], s.Report())
 					}
 				}
 				s.Tick()
@@ -87,9 +89,11 @@
 			*e = rampEndpoint{start: time.Now().Add(2 * time.Second), crashed: make(chan struct{})}
 		}
 		clock.Schedule(3*time.Second, func(now time.Time) {
+			mu.Lock()
 			for i := range l.fresh {
 				state[fmt.Sprint("e", i)].start = now
 			}
+			mu.Unlock()
 			for _, s := range schedulers {
 				s.SetEndpoints(list)
 			}
