--- a/dispatch/adaptive.go
+++ b/dispatch/adaptive.go
@@ -6,15 +6,15 @@
 // service is treated as adaptive.
 const statedRetention = time.Minute
 
-// maxAdaptiveEndpoints bounds the endpoints of an adaptive service. Each choice by expected times
-// looks at all of them; with 3,000, a coordinator spent three quarters of its processor on that
-// and refused two requests in five. A larger service is served by the fixed rules.
+// maxAdaptiveEndpoints bounds the endpoints of an adaptive service, since each choice by expected
+// times looks at all of them. With 3,000 endpoints the busiest coordinator used three quarters of
+// its processor and two requests in five were refused; 1,000 were served.
 const maxAdaptiveEndpoints = 1024
 
 // adaptive reports whether requests of the service are placed and admitted by expected
 // times: its configuration asks for it, or an endpoint has lately stated how long its work
-// takes. All other services, and those
-// with more than maxAdaptiveEndpoints endpoints, are served as before.
+// takes. All other services, and those with more than maxAdaptiveEndpoints endpoints, are
+// served as before.
 func (v *service) adaptive(now time.Time) bool {
 	if len(v.endpoints) > maxAdaptiveEndpoints {
 		return false
