End all processes of a case whose requesters fail together

When two requesters of a case failed at the same moment, the second ended the player while the first was still ending the gateways, so one could be left running. The second now waits. No check or bound changed.

--- a/review/standin-2/replica_test.go
+++ b/review/standin-2/replica_test.go
@@ -136,7 +136,6 @@
 // answer is what a requester got.
 type answer struct {
 	status int
-	header http.Header
 	body   string
 }
 
@@ -178,7 +177,7 @@
 	}
 	body, err := io.ReadAll(res.Body)
 	_ = res.Body.Close()
-	return answer{status: res.StatusCode, header: res.Header, body: string(body)}, err
+	return answer{status: res.StatusCode, body: string(body)}, err
 }
 
 // request returns the bytes of a request with an ID, a key and a body.
--- a/review/standin-2/revoke_test.go
+++ b/review/standin-2/revoke_test.go
@@ -40,7 +40,7 @@
 		replicas = append(replicas, w.startReplica(fmt.Sprintf("i-%d", i), "pisarz", 4, noteAnswer))
 	}
 	g := w.startGateways(1)[0]
-	time.Sleep(3500 * time.Millisecond)
+	w.settle()
 	acknowledged := make(chan time.Time, 1)
 	var ran, control atomic.Int64
 	var wg sync.WaitGroup
--- a/review/standin-2/stop_test.go
+++ b/review/standin-2/stop_test.go
@@ -25,7 +25,7 @@
 		replicas = append(replicas, w.startReplica(fmt.Sprintf("i-%d", i), "pisarz", 4, noteAnswer))
 	}
 	gateways := w.startGateways(2)
-	time.Sleep(3500 * time.Millisecond)
+	w.settle()
 	var stopped time.Time
 	signalled := make(chan struct{})
 	var broken atomic.Int64
--- a/review/standin-2/unread_test.go
+++ b/review/standin-2/unread_test.go
@@ -51,7 +51,7 @@
 	}
 	w.startReplica("i-9", "sklep", 6, plainAnswer)
 	g := w.startGateways(1)[0]
-	time.Sleep(3500 * time.Millisecond)
+	w.settle()
 	var broken atomic.Int64
 	var wg sync.WaitGroup
 	const requesters = 8
--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -84,7 +84,7 @@
 
 	mu     sync.Mutex
 	record *os.File
-	closed bool
+	once   sync.Once
 }
 
 func newWorld() (*world, error) {
@@ -101,21 +101,20 @@
 	return w, nil
 }
 
-// close ends all processes that the world started.
+// close ends all processes that the world started. Each call returns when that is done: a
+// requester that fails beside another must not end this process before.
 func (w *world) close() {
-	w.mu.Lock()
-	done := w.closed
-	w.closed = true
-	w.mu.Unlock()
-	if done {
-		return
-	}
-	for _, g := range w.gateways {
-		g.kill()
-	}
-	_ = os.RemoveAll(w.dir)
+	w.once.Do(func() {
+		for _, g := range w.gateways {
+			g.kill()
+		}
+		_ = os.RemoveAll(w.dir)
+	})
 }
 
+// settle waits until the gateways are in touch: longer than stability_window_ms.
+func (w *world) settle() { time.Sleep(3500 * time.Millisecond) }
+
 // logf writes a line to the record, with the time since the start of the case.
 func (w *world) logf(format string, args ...any) {
 	line := fmt.Sprintf("%8.3f %s\n", time.Since(w.start).Seconds(), fmt.Sprintf(format, args...))
