--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,6 +40,14 @@
 	}}}
 }
 
+// newClientFrom returns a requester that connects from an address.
+func newClientFrom(w *world, g *gateway, from string) *client {
+	res := newClient(w, g)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	res.http.Transport.(*http.Transport).DialContext = dialer.DialContext
+	return res
+}
+
 var (
 	idMu   sync.Mutex
 	lastID int
--- a/review/standin-3/leaving.go
+++ b/review/standin-3/leaving.go
@@ -83,7 +83,7 @@
 
 // streamAnswer answers with events. It states no length and ends the channel in order.
 func (x *replica) streamAnswer(c net.Conn, r *http.Request, id string) bool {
-	events, _ := strconv.Atoi(path.Base(r.URL.Path))
+	events := eventCount(r)
 	if _, err := io.WriteString(c, x.head(id, "text/event-stream", "Connection: close")); err != nil {
 		return false
 	}
@@ -118,3 +118,9 @@
 	}
 	return lost > 3
 }
+
+// eventCount returns the number of events that a request asks for: the last part of its path.
+func eventCount(r *http.Request) int {
+	n, _ := strconv.Atoi(path.Base(r.URL.Path))
+	return n
+}
