--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -45,6 +45,7 @@
 	"removal": silentRemoval,
 	"leaving": leavingReplicas,
 	"crowd":   slowCrowd,
+	"server":  serverWide,
 }
 
 func main() {
