--- a/review/standin-3/crowd.go
+++ b/review/standin-3/crowd.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -31,16 +33,19 @@
 	g := w.startGateways(1, s)[0]
 	stop := make(chan struct{})
 	var crowd, load sync.WaitGroup
-	var open, closed atomic.Int64
+	var open, closed, failed atomic.Int64
 	if w.trouble {
 		for i := range crowdSize {
 			crowd.Go(func() {
 				time.Sleep(time.Duration(i) * time.Millisecond)
-				w.trickle(g, w.ip(200+i%crowdAddresses), stop, &open, &closed)
+				w.trickle(g, w.ip(200+i%crowdAddresses), stop, &open, &closed, &failed)
 			})
 		}
 	}
 	time.Sleep(2500 * time.Millisecond)
+	if failed.Load() > 0 {
+		w.cannotRun("%d clients of the crowd got no descriptor or address", failed.Load())
+	}
 	var mu sync.Mutex
 	var taken []time.Time
 	tried := 0
@@ -82,11 +87,14 @@
 }
 
 // trickle sends one body piece by piece until the machine ends the channel.
-func (w *world) trickle(g *gateway, from string, stop chan struct{}, open, closed *atomic.Int64) {
+func (w *world) trickle(g *gateway, from string, stop chan struct{}, open, closed, failed *atomic.Int64) {
 	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
 	c, err := dialer.Dial("tcp4", g.callers)
 	if err != nil {
 		w.note("a client of the crowd gets no channel: %v", err)
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+			failed.Add(1)
+		}
 		return
 	}
 	defer func() { _ = c.Close() }()
--- a/review/standin-3/gateway.go
+++ b/review/standin-3/gateway.go
@@ -18,6 +18,7 @@
 	world            *world
 	name, zone, ip   string
 	callers, ready   string
+	control          string
 	settings, stdout string
 	seeds            []string
 	storeAddr        string
@@ -25,24 +26,20 @@
 	exited           chan struct{}
 }
 
-const (
-	callerPort  = 8221
-	readyPort   = 8224
-	controlPort = 8229
-)
-
 // newGateways returns gateways in three zones that know the first three as seeds.
 func newGateways(w *world, n int, s *store) []*gateway {
 	var res []*gateway
 	var seeds []string
+	// Ports are the same on all machines.
+	callers, ready, control := w.freePort(), w.freePort(), w.freePort()
 	for i := range n {
 		ip := w.ip(10 + i)
 		g := &gateway{world: w, name: fmt.Sprintf("edge-%d", i+1), zone: zones[i%len(zones)], ip: ip, storeAddr: s.addr}
-		g.callers, g.ready = net.JoinHostPort(ip, fmt.Sprint(callerPort)), net.JoinHostPort(ip, fmt.Sprint(readyPort))
+		g.callers, g.ready, g.control = net.JoinHostPort(ip, callers), net.JoinHostPort(ip, ready), net.JoinHostPort(ip, control)
 		g.settings = filepath.Join(w.dir, g.name+".yaml")
 		g.stdout = filepath.Join(w.dir, g.name+".log")
 		if i < 3 {
-			seeds = append(seeds, net.JoinHostPort(ip, fmt.Sprint(controlPort)))
+			seeds = append(seeds, g.control)
 		}
 		res = append(res, g)
 	}
@@ -54,7 +51,7 @@
 
 func (g *gateway) writeSettings() {
 	text := strings.NewReplacer(
-		"{name}", g.name, "{zone}", g.zone, "{ip}", g.ip, "{seeds}", `"`+strings.Join(g.seeds, `", "`)+`"`, "{store}", g.storeAddr,
+		"{name}", g.name, "{zone}", g.zone, "{ip}", g.ip, "{callers}", g.callers, "{ready}", g.ready, "{control}", g.control, "{seeds}", `"`+strings.Join(g.seeds, `", "`)+`"`, "{store}", g.storeAddr,
 	).Replace(settingsTemplate)
 	g.world.must(os.WriteFile(g.settings, []byte(text), 0o600))
 }
@@ -129,9 +126,9 @@
 region: "be-central"
 zones: {gent-a: "be-central", gent-b: "be-central", brussel-c: "be-central"}
 listen_addresses:
-  frontend: "{ip}:8221"
-  readiness: "{ip}:8224"
-  control_plane: "{ip}:8229"
+  frontend: "{callers}"
+  readiness: "{ready}"
+  control_plane: "{control}"
 internal_port_range: [7600, 7615]
 seed_nodes: [{seeds}]
 bootstrap: true
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -161,6 +161,15 @@
 	return l
 }
 
+// freePort returns the number of a port that is free on the first address of this run.
+func (w *world) freePort() string {
+	l := w.listen(w.ip(10))
+	defer func() { _ = l.Close() }()
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	w.must(err)
+	return port
+}
+
 // at returns a time in seconds since the start of the case.
 func (w *world) at(t time.Time) string { return fmt.Sprintf("%.3f s", t.Sub(w.start).Seconds()) }
 
