Upstream: a reset during the upload is no end of an answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got the part as a whole answer, with a length or, on a stream, with an orderly end.

Cause: the kernel reports a broken connection to one call only. When the goroutine that writes the upload got ECONNRESET, the read of the answer found nothing but the end of the connection, which is what ends an answer without a length.

Change: internal/response.Conn keeps the error of a failed write. A read that finds the end ends a pending write and returns that error in place of the end, unless the write failed with EPIPE, which the kernel gives only after the peer has closed its direction in order. So an answer that the endpoint ends in order stays whole, also if it resets the connection at the rest of the upload. upstream reads and writes through it.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"damasktrail.dev/internal/response"
 )
 
 const (
@@ -67,6 +69,7 @@
 	pool    *Pool
 	key     key
 	tcp     *net.TCPConn
+	wire    *response.Conn // reads and writes tcp
 	bound   *boundedReader
 	reader  *bufio.Reader
 	expires time.Time
@@ -79,8 +82,9 @@
 }
 
 func newConn(p *Pool, k key, tcp *net.TCPConn) *conn {
-	bound := &boundedReader{reader: tcp, left: -1}
-	return &conn{pool: p, key: k, tcp: tcp, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes)}
+	wire := response.NewConn(tcp)
+	bound := &boundedReader{reader: wire, left: -1}
+	return &conn{pool: p, key: k, tcp: tcp, wire: wire, bound: bound, reader: bufio.NewReaderSize(bound, readBufferBytes)}
 }
 
 func (c *conn) close() {
@@ -129,7 +133,7 @@
 	reused := c.used
 	c.used, c.lastID = true, call.ID
 	written := c.write(call)
-	response, err := c.response(call, reused) //nolint:bodyclose // Answer.Close closes the connection.
+	res, err := c.response(call, reused) //nolint:bodyclose // Answer.Close closes the connection.
 	if err != nil {
 		stop()
 		if errors.Is(err, io.EOF) {
@@ -137,7 +141,7 @@
 		}
 		return nil, err
 	}
-	return &Answer{Status: response.StatusCode, Header: response.Header, conn: c, response: response, written: written, stop: stop}, nil
+	return &Answer{Status: res.StatusCode, Header: res.Header, conn: c, response: res, written: written, stop: stop}, nil
 }
 
 func (c Call) bodySize() (res int) {
@@ -156,16 +160,14 @@
 		for _, block := range call.Body {
 			head = append(head, block...)
 		}
-		n, err := c.tcp.Write(head)
+		n, err := c.wire.Write(head)
 		c.sent = n > 0 || err == nil
 		written <- err
 		return written
 	}
 	c.sent = true
 	started := c.pool.tasks.Go(func(context.Context) {
-		buffers := append(net.Buffers{head}, call.Body...)
-		_, err := buffers.WriteTo(c.tcp)
-		written <- err
+		written <- c.wire.WriteBuffers(append(net.Buffers{head}, call.Body...))
 	})
 	if !started {
 		c.close()
