Upstream: no answer has status 000

What callers saw: an endpoint in trouble answered with status 000. The caller was held until its time limit and got 504. Neighbours by class: 001 to 099 and "+20" held it too, as did 101, a change of protocol that nobody had asked for; 600 and 999 were passed on; version 2.0 was served, version 0.9 with the chunk sizes in the body.

Cause: net/http takes any three characters that strconv reads as a number of at least 0 for a status, and any version. upstream took all below 200 for informational answers and waited for the next one.

Change: response.Conn checks the head of each answer as it arrives, before net/http sees it, and gives a MalformedError in place of a malformed one: a status that is not from 100 to 599, 101, or a version that is not 1.0 or 1.1. upstream says where a head begins. The caller gets 502 at once (garbled), or the request is sent again where it may be. The log line names the line of the endpoint; the caller's refusal doesn't.

Handled before, tests kept: "20", "2000", "OK", no status, HTTP/1.10, ICY, an empty line; informational answers go on being skipped.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,6 +12,7 @@
 	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/fleet"
+	"damasktrail.dev/internal/response"
 	"damasktrail.dev/telemetry"
 	"damasktrail.dev/upstream"
 )
@@ -218,7 +219,7 @@
 		"parts", formatParts(c.fields.SharedParts), "events", c.eventCount, "fingerprint", strconv.FormatUint(c.fingerprint, 16), "error", err)
 	result := dispatch.Broken
 	if lostReason(err) == damasktrail.ReasonGarbled {
-		c.g.log.Warn("endpoint sends bytes without end", "endpoint", c.endpoint, "error", err)
+		c.g.log.Warn("endpoint sends bytes that are no answer", "endpoint", c.endpoint, "line", malformedLine(err), "error", err)
 	} else if !begun && c.recordLoss(ctx, grant.Endpoint) {
 		result = dispatch.Unreachable
 	}
@@ -244,12 +245,21 @@
 
 // lostReason returns the reason for which an attempt got no complete answer.
 func lostReason(err error) damasktrail.Reason {
-	if errors.Is(err, upstream.ErrTooLong) || errors.Is(err, errLongEvent) {
+	if errors.Is(err, upstream.ErrTooLong) || errors.Is(err, errLongEvent) || errors.As(err, new(*response.MalformedError)) {
 		return damasktrail.ReasonGarbled
 	}
 	return damasktrail.ReasonLost
 }
 
+// malformedLine returns the line that makes an answer malformed, empty if there is none.
+func malformedLine(err error) string {
+	var malformed *response.MalformedError
+	if errors.As(err, &malformed) {
+		return malformed.Line
+	}
+	return ""
+}
+
 // takeRetry reports whether another endpoint may run the request, and charges the
 // retry to the service's share.
 func (c *call) takeRetry() bool {
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -17,6 +17,9 @@
 type Conn struct {
 	net.Conn
 
+	reading sync.Mutex
+	// head is guarded by reading.
+	head head
 	// writing is held during a write.
 	writing sync.Mutex
 	// writeErr is the error of the last write that failed, guarded by writing.
@@ -26,6 +29,22 @@
 // NewConn returns a connection that reads from and writes to c.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
+// Begin expects the answer to the next request, of which buffered has been read already.
+// Heads are checked only after the first call.
+func (c *Conn) Begin(buffered []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.head.begin()
+	return c.head.scan(buffered)
+}
+
+// checkHead checks bytes that have arrived.
+func (c *Conn) checkHead(p []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.head.scan(p)
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (n int, err error) {
 	c.writing.Lock()
@@ -54,8 +73,12 @@
 // Read implements net.Conn. It returns [io.EOF] only if the peer has closed its direction
 // of the connection. The kernel reports a broken connection to one call only: if a write
 // gets the error, the next read finds nothing but the end. Read returns that error then.
+// In the head of an answer, Read returns a [*MalformedError] in place of malformed bytes.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if malformed := c.checkHead(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -180,6 +180,9 @@
 // connection has carried other requests before.
 func (c *conn) response(call Call, reused bool) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
+	if err := c.beginHead(); err != nil {
+		return nil, err
+	}
 	for range maxResponses {
 		c.bound.left = maxHeadBytes
 		res, err := http.ReadResponse(c.reader, request)
@@ -200,10 +203,22 @@
 		if err := c.discard(res.Body); err != nil {
 			return nil, err
 		}
+		if err := c.beginHead(); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errMismatch
 }
 
+// beginHead expects the head of a response, of which a part may have been read.
+func (c *conn) beginHead() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.wire.Begin(buffered)
+}
+
 // discard reads the rest of a body, at most maxDiscardBytes for maxDiscardTime.
 func (c *conn) discard(body io.Reader) error {
 	if err := c.tcp.SetReadDeadline(c.pool.clock.Now().Add(maxDiscardTime)); err != nil {
