Upstream: no answer has a blank or control byte in a field's name

What callers saw: an endpoint in trouble answered with a name that held a blank. The line was dropped and the rest served; where the name was that of the length or the encoding, the body was not the endpoint's: chunk sizes in it, or the connection's end awaited until the time limit (504). Neighbours by class: a line that begins with a blank or a tab was taken for the rest of the field before it (obs-fold), and hid a length or an encoding the same way; an encoding in version 1.0 was ignored and its chunks were the body.

Cause: net/http takes names with blanks, joins continued lines and drops the encoding of version 1.0, so that the field that says where the body ends is missed.

Change: response.Conn checks the fields, too: names, that no line begins with a blank, that values hold no control bytes, that a carriage return stands at the end of a line only, and no Transfer-Encoding in version 1.0. The caller gets 502 at once, or the request is sent again where it may be. Where net/http hides the MalformedError behind one of its own, upstream takes it from the connection.

Handled before by net/http, tests kept: control bytes, tabs and bytes above ASCII in names, control bytes in values, a blank before the first field, no name, no colon, two lengths, a length that is no number, an encoding other than chunks.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -87,7 +87,7 @@
 // Guards against a malformed answer that ends a request although it may be sent to another
 // endpoint.
 func TestMalformedAnswerSentAgain(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 200 OK\r\nX : z\r\n"} {
 		s := startWithRaw(t, func(c *net.TCPConn, r *http.Request) {
 			fmt.Fprintf(c, "%sAttempt-Id: %s\r\nContent-Length: 3\r\n\r\nbad", head, r.Header.Get("Attempt-Id"))
 		})
@@ -104,3 +104,20 @@
 		}
 	}
 }
+
+// Guards against answers with a malformed field: a name with a blank was dropped and the
+// rest served, with a body that was not the endpoint's if the name was that of its length
+// or encoding.
+func TestAnswerWithMalformedField(t *testing.T) {
+	heads := []malformedHead{{"HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"}}
+	for _, line := range []string{
+		"X Y: z", "X : z", " X: z", "\tX: z", "X\t: z", "X\x00: z", "X\x01Y: z", "X\x7f: z", "X\rY: z", "\rX: z", "X\xa0: z", "ä: z", ": z", "no colon", "X\x0b: z",
+		"Content-Length : 3", " Content-Length: 3", "Content-Length\t: 3", "Content Length: 3",
+		"Transfer-Encoding : chunked", " Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked",
+		"A: b\r\n Content-Length: 3", "A: b\r\n\tTransfer-Encoding: chunked", "A: b\r\n X: z", "A: b\r\n ", "A:\r\n b",
+		"A: b\x00", "A: b\x01c", "A: b\rc", "A: b\r\r\nC: d", "Content-Length: +3", "Content-Length: 3\r\nContent-Length: 4", "Transfer-Encoding: gzip, chunked",
+	} {
+		heads = append(heads, malformedHead{"HTTP/1.1 200 OK", line + "\r\n"})
+	}
+	requireRefused(t, heads)
+}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -38,6 +38,14 @@
 	return c.head.scan(buffered)
 }
 
+// Malformed returns the [*MalformedError] that has ended the connection, nil if there is
+// none. A reader may hide it: net/http takes what it has of a line for the whole line.
+func (c *Conn) Malformed() error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.head.err
+}
+
 // checkHead checks bytes that have arrived.
 func (c *Conn) checkHead(p []byte) error {
 	c.reading.Lock()
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -1,6 +1,10 @@
 package response
 
-import "strings"
+import (
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // MalformedError reports bytes that are not the head of an answer: its status line and its
 // header.
@@ -14,7 +18,8 @@
 // Error implements error. It leaves out the line, which is no text to pass on.
 func (e *MalformedError) Error() string { return "malformed answer: " + e.Reason }
 
-// maxLineBytes is how much of a line is kept. A status is shorter.
+// maxLineBytes is how much of a line is kept. A status and each name of a field that says
+// where the body ends are shorter.
 const maxLineBytes = 64
 
 // headState is the position in the head of an answer.
@@ -24,16 +29,21 @@
 	outside headState = iota // before the first head, or after the end of one
 	inStatus
 	atLineStart
-	inField
+	inName
+	inValue
 )
 
 // head checks the heads of the answers to one request, informational (1xx) ones included,
 // byte by byte as they arrive. It rejects what net/http lets pass and leaves the rest to
-// net/http: sizes, fields, the body. It is not safe for concurrent use.
+// net/http: sizes, what lengths and encodings there may be, the body. It is not safe for concurrent use.
 type head struct {
 	state headState
 	// line is the beginning of the current line, at most maxLineBytes.
 	line []byte
+	// carriage is true after a carriage return, which only the end of a line may follow.
+	carriage bool
+	// protocol is the protocol of the current answer, such as HTTP/1.1.
+	protocol string
 	// informational is true if another answer follows the current one.
 	informational bool
 	// err is the first error, after which all is malformed.
@@ -42,7 +52,7 @@
 
 // begin expects the head of an answer.
 func (h *head) begin() {
-	h.state, h.line = inStatus, h.line[:0]
+	h.state, h.line, h.carriage = inStatus, h.line[:0], false
 }
 
 // scan checks the bytes that have arrived. It ignores those after the head.
@@ -59,13 +69,51 @@
 // next checks the next byte of the head.
 func (h *head) next(b byte) error {
 	if b == '\n' {
+		h.carriage = false
 		return h.endLine()
 	}
+	if h.carriage {
+		return h.malformed("carriage return inside a line")
+	}
+	if b == '\r' {
+		h.carriage = true
+		return nil
+	}
 	if len(h.line) < maxLineBytes {
 		h.line = append(h.line, b)
 	}
-	if h.state == atLineStart && b != '\r' {
-		h.state = inField
+	switch h.state {
+	case atLineStart:
+		h.state = inName
+		return h.checkName(b)
+	case inName:
+		return h.checkName(b)
+	case inValue:
+		if b < ' ' && b != '\t' || b == '\x7f' {
+			return h.malformed("value of a field holds a control byte")
+		}
+	case outside, inStatus:
+	}
+	return nil
+}
+
+// checkName checks the next byte of the name of a field, or the colon at its end. A line
+// that begins with a blank continues the field before it (obs-fold): a field that one
+// reader sees there is a part of a value to the next.
+func (h *head) checkName(b byte) error {
+	if b != ':' {
+		if !httpguts.IsTokenRune(rune(b)) {
+			return h.malformed("name of a field holds a byte that names may not have")
+		}
+		return nil
+	}
+	h.state = inValue
+	if len(h.line) == 1 {
+		return h.malformed("field has no name")
+	}
+	// net/http ignores such a field and takes the chunks for the body.
+	if h.protocol == "HTTP/1.0" && strings.EqualFold(string(h.line), "Transfer-Encoding:") {
+		return h.malformed("version 1.0 has no transfer encodings")
 	}
 	return nil
 }
@@ -74,9 +122,11 @@
 func (h *head) endLine() (err error) {
 	switch h.state {
 	case inStatus:
-		err = h.checkStatus(strings.TrimSuffix(string(h.line), "\r"))
+		err = h.checkStatus(string(h.line))
 		h.state = atLineStart
-	case inField:
+	case inName:
+		err = h.malformed("field has no colon")
+	case inValue:
 		h.state = atLineStart
 	case atLineStart:
 		h.state = outside
@@ -103,7 +153,7 @@
 	if code == "101" {
 		return h.malformed("no other protocol was asked for")
 	}
-	h.informational = code[0] == '1'
+	h.protocol, h.informational = protocol, code[0] == '1'
 	return nil
 }
 
--- a/internal/response/head_test.go
+++ b/internal/response/head_test.go
@@ -25,6 +25,20 @@
 		{"body like a head", "HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 000 OK\r\nA B: c\r\n\r\n", false},
 		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", true},
 		{"status 000 after an informational one", "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 OK\r\n\r\n", true},
+		{"bytes above ASCII in a value", "HTTP/1.1 200 OK\r\nA: \xe4\tb\r\n\r\nok", false},
+		{"chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding:chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
+		{"chunks in version 1.0", "HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nA B: c\r\n\r\nok", true},
+		{"blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nok", true},
+		{"blank before a name", "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 1\r\n\r\nok", true},
+		{"blank line in the head", "HTTP/1.1 200 OK\r\nA: b\r\n \r\n\r\nok", true},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: b\r\n\r\nok", true},
+		{"control byte in a value", "HTTP/1.1 200 OK\r\nA: b\x7f\r\n\r\nok", true},
+		{"carriage return in a line", "HTTP/1.1 200 OK\r\nA: b\rC: d\r\n\r\nok", true},
+		{"carriage return before a line", "HTTP/1.1 200 OK\r\n\rA: b\r\n\r\nok", true},
+		{"carriage return in the status", "HTTP/1.1 200 O\rK\r\n\r\nok", true},
+		{"no name", "HTTP/1.1 200 OK\r\n: b\r\n\r\nok", true},
+		{"no colon", "HTTP/1.1 200 OK\r\nA\r\n\r\nok", true},
 	} {
 		for split := range len(c.text) {
 			client, server := connect(t)
@@ -39,11 +53,13 @@
 			<-received
 			_, err := readAnswer(client)
 			if c.malformed {
-				require.ErrorAs(t, err, new(*response.MalformedError), "%s, split at %d", c.name, split)
+				require.Error(t, err, "%s, split at %d", c.name, split)
+				require.ErrorAs(t, client.Malformed(), new(*response.MalformedError), "%s, split at %d", c.name, split)
 				_, err = client.Read(make([]byte, 1))
 				require.ErrorAs(t, err, new(*response.MalformedError), "%s: the error stays", c.name)
 			} else {
 				require.NoError(t, err, "%s, split at %d", c.name, split)
+				require.NoError(t, client.Malformed())
 			}
 		}
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -188,7 +189,7 @@
 		res, err := http.ReadResponse(c.reader, request)
 		c.bound.left = -1
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(c.wire.Malformed(), err)
 		}
 		if res.StatusCode < http.StatusOK {
 			continue
