Engine: no answer of an endpoint has status 000 or a malformed field

An endpoint's status 000 reached the caller as 200, status 101 and 600 as they were, 099 ended the caller's connection (a panic at the entry); answers with a blank in a field's name were served.

Cause: the engine's client takes what net/http takes, the agent passes the status on, and the entry's writer makes 200 of 0.

Change: response.NewTransport puts response.Conn under an http.Transport; calls, resumes, orders, load reports and health checks of the engine go through it. A malformed answer is a LostError. The entry takes a status that is not from 200 to 599 for a breach of the protocol, since an agent of an older version may send one. A Conn returns the sound bytes before a malformed one, so that net/http knows that the answer had begun and doesn't send the request again by itself.

Handled before: a reset during the upload (an answer without a length is an error there), control bytes in fields.

--- a/engine/client.go
+++ b/engine/client.go
@@ -45,7 +45,7 @@
 	settings Settings
 	// callTransport sends calls. controlTransport sends control and resume requests
 	// and opens a new connection for each.
-	callTransport, controlTransport *http.Transport
+	callTransport, controlTransport http.RoundTripper
 }
 
 // New returns a client of the endpoint at baseURL, a URL without a path. Of
--- a/engine/dispatch.go
+++ b/engine/dispatch.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"damasktrail.dev/internal/response"
 )
 
 // The states of a [writeTrackingConn].
@@ -41,7 +43,7 @@
 }
 
 // newTransport returns a copy of base for requests to one endpoint.
-func newTransport(base *http.Transport, s Settings) *http.Transport {
+func newTransport(base *http.Transport, s Settings) http.RoundTripper {
 	t := base.Clone()
 	dial := t.DialContext
 	if dial == nil {
@@ -62,7 +64,7 @@
 	t.MaxResponseHeaderBytes = s.MaxHeaderBytes
 	t.IdleConnTimeout = s.IdleTimeout
 	t.DisableKeepAlives = s.IdleTimeout == 0
-	return t
+	return response.NewTransport(t)
 }
 
 // dispatch sends r once. If it fails, dispatched reports whether the endpoint may
@@ -75,6 +77,9 @@
 			if s, ok := c.(*tls.Conn); ok {
 				c = s.NetConn()
 			}
+			if checked, ok := c.(*response.Conn); ok {
+				c = checked.Conn
+			}
 			if rc, ok := c.(*writeTrackingConn); ok {
 				// The transport reuses a connection only after the previous request
 				// was written in full.
--- a/entry/output_test.go
+++ b/entry/output_test.go
@@ -134,3 +134,10 @@
 		})
 	}
 }
+
+// Guards against a status of an agent that net/http answers as 200 (0) or panics at.
+func TestFinalStatus(t *testing.T) {
+	for status, want := range map[int]bool{-1: false, 0: false, 99: false, 101: false, 199: false, 200: true, 599: true, 600: false, 1000: false} {
+		require.Equal(t, want, isFinal(status), status)
+	}
+}
--- a/entry/receive.go
+++ b/entry/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/crc64"
+	"net/http"
 	"time"
 
 	"damasktrail.dev"
@@ -9,6 +10,9 @@
 	"damasktrail.dev/link"
 )
 
+// maxStatus is the highest HTTP status.
+const maxStatus = 599
+
 var crcTable = crc64.MakeTable(crc64.ECMA)
 
 // receive relays the frames of an answer until its end.
@@ -26,7 +30,7 @@
 		switch raw.Kind {
 		case frame.KindHead:
 			h, err := frame.Decode[frame.Head](raw, frame.KindHead)
-			if err != nil || headReceived {
+			if err != nil || headReceived || !isFinal(h.Status) {
 				return e.protocolError(err)
 			}
 			headReceived, status = true, h.Status
@@ -72,6 +76,10 @@
 	}
 }
 
+// isFinal reports whether an answer may have the HTTP status. Informational statuses (1xx)
+// precede an answer.
+func isFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // receiveRefusal returns the refusal that ends an attempt after the given number of
 // chunks.
 func (e *Entry) receiveRefusal(c *call, r *remoteAgent, sess *session, raw frame.Raw, chunks uint64) *damasktrail.Refusal {
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -35,7 +35,8 @@
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	c.head.begin()
-	return c.head.scan(buffered)
+	_, err := c.head.scan(buffered)
+	return err
 }
 
 // Malformed returns the [*MalformedError] that has ended the connection, nil if there is
@@ -46,8 +47,8 @@
 	return c.head.err
 }
 
-// checkHead checks bytes that have arrived.
-func (c *Conn) checkHead(p []byte) error {
+// checkHead checks bytes that have arrived and returns how many of them are sound.
+func (c *Conn) checkHead(p []byte) (int, error) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	return c.head.scan(p)
@@ -81,11 +82,14 @@
 // Read implements net.Conn. It returns [io.EOF] only if the peer has closed its direction
 // of the connection. The kernel reports a broken connection to one call only: if a write
 // gets the error, the next read finds nothing but the end. Read returns that error then.
-// In the head of an answer, Read returns a [*MalformedError] in place of malformed bytes.
+// In the head of an answer, it returns a [*MalformedError] in place of a malformed rest.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.Malformed(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
-	if malformed := c.checkHead(p[:n]); malformed != nil {
-		return 0, malformed
+	if sound, malformed := c.checkHead(p[:n]); malformed != nil {
+		return sound, malformed
 	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -55,15 +55,21 @@
 	h.state, h.line, h.carriage = inStatus, h.line[:0], false
 }
 
-// scan checks the bytes that have arrived. It ignores those after the head.
-func (h *head) scan(p []byte) error {
-	for _, b := range p {
-		if h.err != nil || h.state == outside {
+// scan checks the bytes that have arrived and returns how many come before the first error.
+// It ignores those after the head.
+func (h *head) scan(p []byte) (sound int, err error) {
+	for i, b := range p {
+		if h.state == outside {
 			break
 		}
-		h.err = h.next(b)
+		if h.err == nil {
+			h.err = h.next(b)
+		}
+		if h.err != nil {
+			return i, h.err
+		}
 	}
-	return h.err
+	return len(p), h.err
 }
 
 // next checks the next byte of the head.
--- a/internal/response/head_test.go
+++ b/internal/response/head_test.go
@@ -51,7 +51,7 @@
 				_ = server.Close()
 			}()
 			<-received
-			_, err := readAnswer(client)
+			err := readAnswer(client)
 			if c.malformed {
 				require.Error(t, err, "%s, split at %d", c.name, split)
 				require.ErrorAs(t, client.Malformed(), new(*response.MalformedError), "%s, split at %d", c.name, split)
@@ -86,7 +86,8 @@
 			err = client.Begin(ahead)
 			if err == nil {
 				_, _ = io.WriteString(server, second[len(buffered):])
-				_, err = client.Read(make([]byte, 32))
+				require.Error(t, readAnswer(client))
+				err = client.Malformed()
 			}
 			require.ErrorAs(t, err, new(*response.MalformedError))
 		})
@@ -94,15 +95,16 @@
 }
 
 // readAnswer reads an answer to its end, past informational ones.
-func readAnswer(r io.Reader) (body []byte, err error) {
+func readAnswer(r io.Reader) error {
 	reader := bufio.NewReader(r)
 	for {
 		res, err := http.ReadResponse(reader, nil)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if res.StatusCode >= http.StatusOK {
-			return io.ReadAll(res.Body)
+			_, err = io.Copy(io.Discard, res.Body)
+			return err
 		}
 	}
 }
