Gateway: no answer of the store has a malformed field

Change: its client uses response.NewTransport. Such a call fails at once and is made again.

Handled before, tests kept: status 000, 101 and 600, control bytes, answers cut or reset in all forms, bytes without end (TestEndlessAnswersOfStore).

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -25,6 +25,7 @@
 	"damasktrail.dev/conns"
 	"damasktrail.dev/gateway"
 	"damasktrail.dev/group"
+	"damasktrail.dev/internal/response"
 	"damasktrail.dev/platform"
 	"damasktrail.dev/setting"
 	"damasktrail.dev/telemetry"
@@ -131,12 +132,12 @@
 }
 
 func newDirectory(s gateway.Settings, clock damasktrail.Clock) damasktrail.Directory {
-	return platform.New(s.Directory, &http.Client{Transport: &http.Transport{
+	return platform.New(s.Directory, &http.Client{Transport: response.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost:    4,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxDirectoryHeaderBytes,
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}}, clock)
+	})}, clock)
 }
 
 func newGateway(s gateway.Settings, d damasktrail.Directory, clock damasktrail.Clock, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) (*gateway.Gateway, error) {
