Entry: no answer of the configuration service has a malformed field

Change: its client uses response.NewTransport.

Handled before, tests kept: a reset in all forms, status 000 and 600, control bytes, a blank before the first field.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -21,6 +21,7 @@
 	"damasktrail.dev/conns"
 	"damasktrail.dev/entry"
 	"damasktrail.dev/group"
+	"damasktrail.dev/internal/response"
 	"damasktrail.dev/set"
 	"damasktrail.dev/source"
 	"damasktrail.dev/telemetry"
@@ -73,7 +74,12 @@
 }
 
 func newSource(s entry.Settings, clock damasktrail.Clock) damasktrail.Source {
-	return source.New(s.Platform, http.DefaultClient, clock).WithWait(longPollTimeout)
+	transport, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		transport = &http.Transport{}
+	}
+	client := &http.Client{Transport: response.NewTransport(transport)}
+	return source.New(s.Platform, client, clock).WithWait(longPollTimeout)
 }
 
 func newEntry(s entry.Settings, source damasktrail.Source, clock damasktrail.Clock, tasks *group.Group, m *telemetry.Metrics, log *slog.Logger) (*entry.Entry, error) {
--- /dev/null
+++ b/cmd/entry/source_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev"
+	"damasktrail.dev/entry"
+	"damasktrail.dev/group"
+	"damasktrail.dev/timer"
+)
+
+// newService starts a configuration service that writes its answers with f, and returns
+// the source that reads it.
+func newService(t *testing.T, f func(c *net.TCPConn)) damasktrail.Source {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	tasks := group.New(context.Background())
+	t.Cleanup(tasks.Close)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					f(c.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return newSource(entry.Settings{Platform: "http://" + l.Addr().String()}, timer.New(tasks))
+}
+
+// Guards against broken answers of the configuration service that are taken for sound ones.
+func TestBrokenAnswersOfService(t *testing.T) {
+	const sound, body = "HTTP/1.1 200 OK\r\nGeneration: 9\r\n", `{"generation":9}`
+	framings := map[string]string{
+		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"neither": "\r\n" + body,
+	}
+	for name, c := range map[string]struct {
+		head  string
+		reset bool
+		sound bool
+	}{
+		"sound":                  {head: sound, sound: true},
+		"reset":                  {head: sound, reset: true},
+		"status 000":             {head: "HTTP/1.1 000 Trouble\r\nGeneration: 9\r\n"},
+		"status 600":             {head: "HTTP/1.1 600 Trouble\r\nGeneration: 9\r\n"},
+		"version 2.0":            {head: "HTTP/2.0 200 OK\r\nGeneration: 9\r\n"},
+		"blank in a name":        {head: sound + "X Y: z\r\n"},
+		"blank after a name":     {head: sound + "X : z\r\n"},
+		"blank before a name":    {head: sound + " X: z\r\n"},
+		"control byte in a name": {head: sound + "X\x01: z\r\n"},
+		"encoding after a blank": {head: sound + "Transfer-Encoding : chunked\r\n"},
+	} {
+		for framing, rest := range framings {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				t.Parallel()
+				source := newService(t, func(conn *net.TCPConn) {
+					if !c.reset {
+						_, _ = io.WriteString(conn, c.head+rest)
+						return
+					}
+					_, _ = io.WriteString(conn, c.head+rest[:len(rest)-9])
+					_ = conn.SetLinger(0)
+				})
+				for _, read := range []func(context.Context, uint64) (damasktrail.Value, error){source.Document, source.VMs} {
+					v, err := read(t.Context(), 1)
+					if c.sound {
+						require.NoError(t, err)
+						require.Equal(t, damasktrail.Value{Version: 9, Data: []byte(body)}, v)
+						continue
+					}
+					require.Error(t, err)
+					require.NotErrorIs(t, err, damasktrail.ErrUnchanged)
+					require.Zero(t, v)
+				}
+			})
+		}
+	}
+}
