--- a/cmd/entry/source_test.go
+++ b/cmd/entry/source_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -93,3 +96,34 @@
 		}
 	}
 }
+
+// Guards against bytes without end that take the memory of the process.
+func TestEndlessAnswersOfService(t *testing.T) {
+	const maxAllocBytes = 16 << 20
+	for name, text := range map[string]string{
+		"no protocol":           "\x00\xff\x17a",
+		"head":                  "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 1000),
+		"fields":                "HTTP/1.1 200 OK\r\n" + strings.Repeat("A: b\r\n", 200),
+		"informational answers": "HTTP/1.1 103 Early\r\nA: b\r\n\r\n",
+		"body":                  "HTTP/1.1 200 OK\r\nGeneration: 9\r\n\r\n" + strings.Repeat(" ", 1000),
+		"body with a length":    "HTTP/1.1 200 OK\r\nGeneration: 9\r\nContent-Length: 1000000000000\r\n\r\n" + strings.Repeat(" ", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := newService(t, func(c *net.TCPConn) {
+				for block := []byte(strings.Repeat(text, 64)); ; {
+					if _, err := c.Write(block); err != nil {
+						return
+					}
+				}
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			begin := time.Now()
+			_, err := source.Document(t.Context(), 1)
+			runtime.ReadMemStats(&after)
+			require.Error(t, err)
+			require.Less(t, time.Since(begin), 2*time.Second)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes), "bytes allocated")
+		})
+	}
+}
