damasktrail status: no answer of a process has a malformed field

Change: its client uses response.NewTransport; such a process is shown as unreachable.

Handled before, tests kept: a reset in all forms, status 000 and 600, control bytes.

--- a/cmd/damasktrail/status.go
+++ b/cmd/damasktrail/status.go
@@ -14,6 +14,7 @@
 
 	"damasktrail.dev"
 	"damasktrail.dev/group"
+	"damasktrail.dev/internal/response"
 )
 
 const (
@@ -101,7 +102,7 @@
 	}
 	list := make([]process, len(s.Args.Addresses))
 	// The client uses no proxy, because it connects to the processes directly.
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: response.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	tasks := group.New(context.Background())
 	for i, address := range s.Args.Addresses {
 		tasks.Go(func(ctx context.Context) {
