--- a/cmd/damasktrail/status_test.go
+++ b/cmd/damasktrail/status_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +91,32 @@
 		}
 	}
 }
+
+// Guards against bytes without end that take the memory of the operator's machine.
+func TestEndlessStatus(t *testing.T) {
+	const maxAllocBytes = 32 << 20
+	for name, text := range map[string]string{
+		"no protocol":           "\x00\xff\x17a",
+		"head":                  "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 1000),
+		"informational answers": "HTTP/1.1 103 Early\r\nA: b\r\n\r\n",
+		"body":                  "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat(" ", 1000),
+		"body with a length":    "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n" + strings.Repeat(" ", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serveRaw(t, func(c *net.TCPConn) {
+				for block := []byte(strings.Repeat(text, 64)); ; {
+					if _, err := c.Write(block); err != nil {
+						return
+					}
+				}
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			begin := time.Now()
+			require.Equal(t, "unreachable", readState(t, address))
+			runtime.ReadMemStats(&after)
+			require.Less(t, time.Since(begin), 3*time.Second)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes), "bytes allocated")
+		})
+	}
+}
