Gateway: a body without end is not kept (a test), wording of package response

The report of bytes without end, looked for in the relay: a body with a length, in chunks or with neither, a line of a chunk, a trailer and empty lines, plain and as a stream, are relayed within 16 MiB and end at the deadline. Heads without end are TestEndlessEndpoint and `upstream` TestEndless, kept.

Package response: the error says that versions 1.x are taken, afterCR for carriage, doc comments.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -97,3 +99,50 @@
 	require.Contains(t, got.body, "event is too long")
 	require.Less(t, time.Since(begin), time.Second)
 }
+
+// Guards against a body without end that the gateway keeps: its caller reads all of it until
+// the request's deadline.
+func TestEndlessBody(t *testing.T) {
+	const (
+		maxAllocBytes = 16 << 20
+		deadline      = 500 * time.Millisecond
+	)
+	for _, k := range kinds() {
+		for name, rest := range map[string]struct{ begin, repeat string }{
+			"length":      {"Content-Length: 1000000000000\r\n\r\n", k.body},
+			"chunks":      {"Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(k.body), k.body)},
+			"neither":     {"\r\n", k.body},
+			"chunk line":  {"Transfer-Encoding: chunked\r\n\r\n5;", "aaaaaaaa"},
+			"trailer":     {"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", "A: b\r\n"},
+			"empty lines": {"\r\n", "\r\n"},
+		} {
+			t.Run(k.name+", "+name, func(t *testing.T) {
+				s := startWithRaw(t, func(c *net.TCPConn, r *http.Request) {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.head(withNone, r.Header.Get("Attempt-Id"))+rest.begin)
+					for block := []byte(strings.Repeat(rest.repeat, (64<<10)/len(rest.repeat))); ; {
+						if _, err := c.Write(block); err != nil {
+							return
+						}
+					}
+				})
+				s.renew()
+				r, err := http.NewRequest(http.MethodPost, "http://"+s.settings.Callers+k.path, nil)
+				require.NoError(t, err)
+				r.Host = "h"
+				r.Header = http.Header{"Attempt-Id": {"id"}, "X-Api-Key": {"key"}, "Deadline-Ms": {fmt.Sprint(deadline.Milliseconds())}}
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				begin := time.Now()
+				answer, err := http.DefaultTransport.RoundTrip(r)
+				if err == nil {
+					_, err = io.Copy(io.Discard, answer.Body)
+					answer.Body.Close()
+				}
+				runtime.ReadMemStats(&after)
+				require.True(t, err != nil || answer.StatusCode != http.StatusOK, "an answer without end is whole")
+				require.Less(t, time.Since(begin), deadline+time.Second)
+				require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes), "bytes allocated")
+			})
+		}
+	}
+}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -1,5 +1,5 @@
 // Package response detects answers over HTTP/1.1 that are broken and that net/http takes
-// for sound. Start from [NewConn].
+// for sound. Start from [NewTransport], or from [NewConn] for a client without a transport.
 package response
 
 import (
@@ -17,9 +17,9 @@
 type Conn struct {
 	net.Conn
 
+	// reading is held while head is used, not during a read.
 	reading sync.Mutex
-	// head is guarded by reading.
-	head head
+	head    head
 	// writing is held during a write.
 	writing sync.Mutex
 	// writeErr is the error of the last write that failed, guarded by writing.
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -34,14 +34,15 @@
 )
 
 // head checks the heads of the answers to one request, informational (1xx) ones included,
-// byte by byte as they arrive. It rejects what net/http lets pass and leaves the rest to
-// net/http: sizes, what lengths and encodings there may be, the body. It is not safe for concurrent use.
+// byte by byte as they arrive. It checks lines, the status and the names of fields. Sizes,
+// lengths, other encodings and the body are left to net/http. It is not safe for concurrent
+// use.
 type head struct {
 	state headState
 	// line is the beginning of the current line, at most maxLineBytes.
 	line []byte
-	// carriage is true after a carriage return, which only the end of a line may follow.
-	carriage bool
+	// afterCR is true after a carriage return, which only the end of a line may follow.
+	afterCR bool
 	// protocol is the protocol of the current answer, such as HTTP/1.1.
 	protocol string
 	// informational is true if another answer follows the current one.
@@ -52,7 +53,7 @@
 
 // begin expects the head of an answer.
 func (h *head) begin() {
-	h.state, h.line, h.carriage = inStatus, h.line[:0], false
+	h.state, h.line, h.afterCR = inStatus, h.line[:0], false
 }
 
 // scan checks the bytes that have arrived and returns how many come before the first error.
@@ -75,14 +76,14 @@
 // next checks the next byte of the head.
 func (h *head) next(b byte) error {
 	if b == '\n' {
-		h.carriage = false
+		h.afterCR = false
 		return h.endLine()
 	}
-	if h.carriage {
+	if h.afterCR {
 		return h.malformed("carriage return inside a line")
 	}
 	if b == '\r' {
-		h.carriage = true
+		h.afterCR = true
 		return nil
 	}
 	if len(h.line) < maxLineBytes {
@@ -151,7 +152,7 @@
 	code, _, _ := strings.Cut(strings.TrimLeft(status, " "), " ")
 	minor, found := strings.CutPrefix(protocol, "HTTP/1.")
 	if !found || len(minor) != 1 || !isDigits(minor) {
-		return h.malformed("version is not 1.0 or 1.1")
+		return h.malformed("version is not 1.x")
 	}
 	if len(code) != 3 || !isDigits(code) || code[0] < '1' || code[0] > '5' {
 		return h.malformed("status is not from 100 to 599")
