Engine: health checks in the test of malformed control answers

TestMalformedControlAnswers played orders and load reports only; the stand-in answered health checks soundly.

--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -26,6 +26,8 @@
 type fixedServer struct {
 	net.Listener
 	mu sync.Mutex
+	// sick is true if health checks get the bytes, too.
+	sick bool
 	// requestLines holds the method and path of each received request.
 	requestLines []string
 }
@@ -63,8 +65,9 @@
 	io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
 	s.requestLines = append(s.requestLines, r.Method+" "+r.URL.Path)
+	sick := s.sick
 	s.mu.Unlock()
-	if r.URL.Path == "/health" {
+	if r.URL.Path == "/health" && !sick {
 		answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	}
 	io.WriteString(c, answer)
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -61,10 +61,15 @@
 	for name, answer := range malformedAnswers {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newClient(t, newFixedServer(t, answer), engine.Settings{})
+			s := newFixedServer(t, answer)
+			s.mu.Lock()
+			s.sick = true
+			s.mu.Unlock()
+			c := newClient(t, s, engine.Settings{})
 			require.Error(t, c.Order(t.Context(), damasktrail.Order{Fence: 1, Model: "m"}))
 			_, err := c.Load(t.Context())
 			require.Error(t, err)
+			require.Error(t, c.Healthy(t.Context()))
 		})
 	}
 }
