Upstream: one place where a response begins

Cause: the head of a response was announced before the loop over responses and once more at its end, and not after an informational one, which the connection follows by itself. Change: announced at the beginning of each round; what has been read ahead is checked anew. Measured: upstream and response tests with -race, the gateway's tests of malformed, informational and repeated answers pass, unchanged.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -181,10 +181,10 @@
 // connection has carried other requests before.
 func (c *conn) response(call Call, reused bool) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
-	if err := c.beginHead(); err != nil {
-		return nil, err
-	}
 	for range maxResponses {
+		if err := c.beginHead(); err != nil {
+			return nil, err
+		}
 		c.bound.left = maxHeadBytes
 		res, err := http.ReadResponse(c.reader, request)
 		c.bound.left = -1
@@ -204,9 +204,6 @@
 		if err := c.discard(res.Body); err != nil {
 			return nil, err
 		}
-		if err := c.beginHead(); err != nil {
-			return nil, err
-		}
 	}
 	return nil, errMismatch
 }
