Response: one bound of heads for all transports

Cause: three programs each set 32 KiB as the bound of an answer's header, and one cloned a transport for it that NewTransport clones again. Measured: the endless tests of cmd/entry, cmd/gateway and cmd/damasktrail pass, unchanged.

--- a/cmd/damasktrail/status.go
+++ b/cmd/damasktrail/status.go
@@ -24,8 +24,6 @@
 	// maxStatusBytes limits the size of an answer. An entry lists about 271 agents
 	// of about 300 bytes each.
 	maxStatusBytes = 4 << 20
-	// maxStatusHeaderBytes limits the header of an answer.
-	maxStatusHeaderBytes = 32 << 10
 	// noContactAge is the age of platform contact from which a process counts as
 	// never in contact: without any contact, the age is counted from 1970.
 	noContactAge = 20 * 365 * 24 * time.Hour
@@ -104,7 +102,7 @@
 	}
 	list := make([]process, len(s.Args.Addresses))
 	// The client uses no proxy, because it connects to the processes directly.
-	client := &http.Client{Transport: response.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxStatusHeaderBytes})}
+	client := &http.Client{Transport: response.NewTransport(&http.Transport{DisableKeepAlives: true})}
 	tasks := group.New(context.Background())
 	for i, address := range s.Args.Addresses {
 		tasks.Go(func(ctx context.Context) {
--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -33,9 +33,6 @@
 // entries begin to read.
 const longPollTimeout = time.Second
 
-// maxSourceHeaderBytes limits the header of an answer of the platform.
-const maxSourceHeaderBytes = 32 << 10
-
 func main() {
 	var s entry.Settings
 	if _, err := flags.Parse(&s); err != nil {
@@ -81,8 +78,6 @@
 	if !ok {
 		transport = &http.Transport{}
 	}
-	transport = transport.Clone()
-	transport.MaxResponseHeaderBytes = maxSourceHeaderBytes
 	client := &http.Client{Transport: response.NewTransport(transport)}
 	return source.New(s.Platform, client, clock).WithWait(longPollTimeout)
 }
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -55,8 +55,6 @@
 	// operatorWriteTimeout limits the time in which an operator may take nothing of an
 	// answer.
 	operatorWriteTimeout = 30 * time.Second
-	// maxDirectoryHeaderBytes limits the header of an answer of the directory.
-	maxDirectoryHeaderBytes = 32 << 10
 )
 
 func main() {
@@ -133,10 +131,9 @@
 
 func newDirectory(s gateway.Settings, clock damasktrail.Clock) damasktrail.Directory {
 	return platform.New(s.Directory, &http.Client{Transport: response.NewTransport(&http.Transport{
-		MaxIdleConnsPerHost:    4,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxDirectoryHeaderBytes,
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 4,
+		DisableCompression:  true,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	})}, clock)
 }
 
