Tests: one server whose answers are written byte by byte

Cause: the tests of this issue in gateway, cmd/entry, cmd/gateway and cmd/damasktrail each had the same server, framings, endless writer and count of allocated bytes. Change: package internal/response/responsetest has them; the assertions, bounds and cases of the tests are as they were.

--- a/cmd/damasktrail/status_test.go
+++ b/cmd/damasktrail/status_test.go
@@ -1,43 +1,19 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// serveRaw starts a process that writes its status with f, and returns its address.
-func serveRaw(t *testing.T, f func(c *net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					f(c.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
+	"damasktrail.dev/internal/response/responsetest"
+)
 
 // readState returns the state of a process that the status command prints.
 func readState(t *testing.T, address string) string {
@@ -55,12 +31,6 @@
 // Guards against a broken answer that is shown as the state of a process.
 func TestBrokenStatus(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\n"
-	text := statuses["AGENT"]
-	framings := map[string]string{
-		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text),
-		"chunks":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text),
-		"neither": "\r\n" + text,
-	}
 	for name, c := range map[string]struct {
 		head, state string
 		reset       bool
@@ -75,10 +45,11 @@
 		"blank before a name":    {head: sound + "A: b\r\n X: z\r\n", state: "unreachable"},
 		"control byte in a name": {head: sound + "X\x01: z\r\n", state: "unreachable"},
 	} {
-		for framing, rest := range framings {
-			t.Run(name+", "+framing, func(t *testing.T) {
+		for _, framing := range responsetest.Framings {
+			rest := framing.Whole(statuses["AGENT"])
+			t.Run(name+", "+string(framing), func(t *testing.T) {
 				t.Parallel()
-				address := serveRaw(t, func(conn *net.TCPConn) {
+				address := responsetest.Serve(t, func(conn *net.TCPConn, _ *http.Request) {
 					if !c.reset {
 						_, _ = io.WriteString(conn, c.head+rest)
 						return
@@ -103,20 +74,11 @@
 		"body with a length":    "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n" + strings.Repeat(" ", 1000),
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := serveRaw(t, func(c *net.TCPConn) {
-				for block := []byte(strings.Repeat(text, 64)); ; {
-					if _, err := c.Write(block); err != nil {
-						return
-					}
-				}
-			})
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
+			address := responsetest.Serve(t, func(c *net.TCPConn, _ *http.Request) { responsetest.WriteEndless(c, text) })
 			begin := time.Now()
-			require.Equal(t, "unreachable", readState(t, address))
-			runtime.ReadMemStats(&after)
+			allocated := responsetest.Allocated(func() { require.Equal(t, "unreachable", readState(t, address)) })
 			require.Less(t, time.Since(begin), 3*time.Second)
-			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes), "bytes allocated")
+			require.Less(t, allocated, uint64(maxAllocBytes), "bytes allocated")
 		})
 	}
 }
--- a/cmd/entry/source_test.go
+++ b/cmd/entry/source_test.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +14,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/entry"
 	"damasktrail.dev/group"
+	"damasktrail.dev/internal/response/responsetest"
 	"damasktrail.dev/timer"
 )
 
@@ -24,36 +22,15 @@
 // the source that reads it.
 func newService(t *testing.T, f func(c *net.TCPConn)) damasktrail.Source {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
 	tasks := group.New(context.Background())
 	t.Cleanup(tasks.Close)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					f(c.(*net.TCPConn))
-				}
-			}()
-		}
-	}()
-	return newSource(entry.Settings{Platform: "http://" + l.Addr().String()}, timer.New(tasks))
+	address := responsetest.Serve(t, func(c *net.TCPConn, _ *http.Request) { f(c) })
+	return newSource(entry.Settings{Platform: "http://" + address}, timer.New(tasks))
 }
 
 // Guards against broken answers of the configuration service that are taken for sound ones.
 func TestBrokenAnswersOfService(t *testing.T) {
 	const sound, body = "HTTP/1.1 200 OK\r\nGeneration: 9\r\n", `{"generation":9}`
-	framings := map[string]string{
-		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
-		"chunks":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
-		"neither": "\r\n" + body,
-	}
 	for name, c := range map[string]struct {
 		head  string
 		reset bool
@@ -70,8 +47,9 @@
 		"control byte in a name": {head: sound + "X\x01: z\r\n"},
 		"encoding after a blank": {head: sound + "Transfer-Encoding : chunked\r\n"},
 	} {
-		for framing, rest := range framings {
-			t.Run(name+", "+framing, func(t *testing.T) {
+		for _, framing := range responsetest.Framings {
+			rest := framing.Whole(body)
+			t.Run(name+", "+string(framing), func(t *testing.T) {
 				t.Parallel()
 				source := newService(t, func(conn *net.TCPConn) {
 					if !c.reset {
@@ -110,20 +88,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			source := newService(t, func(c *net.TCPConn) {
-				for block := []byte(strings.Repeat(text, 64)); ; {
-					if _, err := c.Write(block); err != nil {
-						return
-					}
-				}
+				responsetest.WriteEndless(c, text)
 			})
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
 			begin := time.Now()
-			_, err := source.Document(t.Context(), 1)
-			runtime.ReadMemStats(&after)
-			require.Error(t, err)
+			allocated := responsetest.Allocated(func() {
+				_, err := source.Document(t.Context(), 1)
+				require.Error(t, err)
+			})
 			require.Less(t, time.Since(begin), 2*time.Second)
-			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes), "bytes allocated")
+			require.Less(t, allocated, uint64(maxAllocBytes), "bytes allocated")
 		})
 	}
 }
--- a/cmd/gateway/directory_test.go
+++ b/cmd/gateway/directory_test.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +17,7 @@
 	"damasktrail.dev"
 	"damasktrail.dev/gateway"
 	"damasktrail.dev/group"
+	"damasktrail.dev/internal/response/responsetest"
 	"damasktrail.dev/timer"
 )
 
@@ -61,40 +60,20 @@
 // newStore starts a store and returns it with the directory that reads it.
 func newStore(t *testing.T, f func(c *net.TCPConn, body string)) *fakeStore {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
 	tasks := group.New(context.Background())
 	t.Cleanup(tasks.Close)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &fakeStore{Directory: newDirectory(gateway.Settings{Directory: l.Addr().String()}, timer.New(tasks))}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					s.requests.Add(1)
-					f(c.(*net.TCPConn), bodies[r.URL.Path])
-				}
-			}()
-		}
-	}()
+	s := &fakeStore{}
+	address := responsetest.Serve(t, func(c *net.TCPConn, r *http.Request) {
+		s.requests.Add(1)
+		f(c, bodies[r.URL.Path])
+	})
+	s.Directory = newDirectory(gateway.Settings{Directory: address}, timer.New(tasks))
 	return s
 }
 
 // Guards against broken answers of the store that are taken for sound ones.
 func TestBrokenAnswersOfStore(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\n"
-	framings := map[string]func(body string) string{
-		"length": func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
-		"chunks": func(body string) string {
-			return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
-		},
-		"neither": func(body string) string { return "\r\n" + body },
-	}
 	for _, c := range []struct {
 		name, head string
 		// lost is the number of bytes that are not sent, reset whether a reset follows.
@@ -117,12 +96,12 @@
 		{name: "length after a blank", head: sound + "Content-Length : 3\r\n"},
 		{name: "encoding after a blank", head: sound + "Transfer-Encoding : chunked\r\n"},
 	} {
-		for framing, encode := range framings {
+		for _, framing := range responsetest.Framings {
 			for call, do := range calls {
 				t.Run(fmt.Sprintf("%s, %s, %s", c.name, framing, call), func(t *testing.T) {
 					t.Parallel()
 					s := newStore(t, func(conn *net.TCPConn, body string) {
-						answer := c.head + encode(body)
+						answer := c.head + framing.Whole(body)
 						_, _ = io.WriteString(conn, answer[:len(answer)-c.lost])
 						if c.reset {
 							_ = conn.SetLinger(0)
@@ -158,20 +137,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStore(t, func(c *net.TCPConn, _ string) {
-				for block := []byte(strings.Repeat(text, 64)); ; {
-					if _, err := c.Write(block); err != nil {
-						return
-					}
-				}
+				responsetest.WriteEndless(c, text)
 			})
 			for call, do := range calls {
-				var before, after runtime.MemStats
-				runtime.ReadMemStats(&before)
 				begin := time.Now()
-				require.Error(t, do(s), call)
-				runtime.ReadMemStats(&after)
+				allocated := responsetest.Allocated(func() { require.Error(t, do(s), call) })
 				require.Less(t, time.Since(begin), 2*time.Second, call)
-				require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes), "%s: bytes allocated", call)
+				require.Less(t, allocated, uint64(maxAllocBytes), "%s: bytes allocated", call)
 			}
 		})
 	}
--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/internal/response/responsetest"
 )
 
 // uploadBeforeReset is the part of a long upload that is read before its connection is
@@ -34,12 +36,12 @@
 		{"long upload, read whole", longUploadBytes, longUploadBytes},
 	} {
 		for _, k := range kinds() {
-			for _, f := range framings {
+			for _, f := range responsetest.Framings {
 				t.Run(fmt.Sprintf("%s, %s, %s", upload.name, k.name, f), func(t *testing.T) {
 					t.Parallel()
 					s := startWithRaw(t, func(c *net.TCPConn, r *http.Request) {
 						part := strings.Index(k.body, "\n\n") + len("\n\n")
-						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.head(f, r.Header.Get("Attempt-Id"))+"\r\n"+k.encode(f, max(part, len(k.body)/3)))
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.head(f, r.Header.Get("Attempt-Id"))+"\r\n"+f.Encode(k.body, max(part, len(k.body)/3)))
 						discard(r.Body, upload.read)
 						_ = c.SetLinger(0)
 					})
@@ -66,12 +68,12 @@
 		"left open": func(io.Reader) { time.Sleep(50 * time.Millisecond) },
 	} {
 		for _, k := range kinds() {
-			for _, f := range framings {
+			for _, f := range responsetest.Framings {
 				t.Run(fmt.Sprintf("%s, %s, %s", name, k.name, f), func(t *testing.T) {
 					t.Parallel()
 					s := startWithRaw(t, func(c *net.TCPConn, r *http.Request) {
 						discard(r.Body, uploadBeforeReset)
-						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.head(f, r.Header.Get("Attempt-Id"))+"\r\n"+k.encode(f, len(k.body)))
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.head(f, r.Header.Get("Attempt-Id"))+"\r\n"+f.Encode(k.body, len(k.body)))
 						_ = c.CloseWrite()
 						afterwards(r.Body)
 					})
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/internal/response/responsetest"
 )
 
 // sendEndless writes a text to the connection of a request until it is closed.
@@ -118,30 +120,26 @@
 		} {
 			t.Run(k.name+", "+name, func(t *testing.T) {
 				s := startWithRaw(t, func(c *net.TCPConn, r *http.Request) {
-					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.head(withNone, r.Header.Get("Attempt-Id"))+rest.begin)
-					for block := []byte(strings.Repeat(rest.repeat, (64<<10)/len(rest.repeat))); ; {
-						if _, err := c.Write(block); err != nil {
-							return
-						}
-					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+k.head(responsetest.Neither, r.Header.Get("Attempt-Id"))+rest.begin)
+					responsetest.WriteEndless(c, rest.repeat)
 				})
 				s.renew()
 				r, err := http.NewRequest(http.MethodPost, "http://"+s.settings.Callers+k.path, nil)
 				require.NoError(t, err)
 				r.Host = "h"
 				r.Header = http.Header{"Attempt-Id": {"id"}, "X-Api-Key": {"key"}, "Deadline-Ms": {fmt.Sprint(deadline.Milliseconds())}}
-				var before, after runtime.MemStats
-				runtime.ReadMemStats(&before)
 				begin := time.Now()
-				answer, err := http.DefaultTransport.RoundTrip(r)
-				if err == nil {
-					_, err = io.Copy(io.Discard, answer.Body)
-					answer.Body.Close()
-				}
-				runtime.ReadMemStats(&after)
+				var answer *http.Response
+				allocated := responsetest.Allocated(func() {
+					answer, err = http.DefaultTransport.RoundTrip(r)
+					if err == nil {
+						_, err = io.Copy(io.Discard, answer.Body)
+						answer.Body.Close()
+					}
+				})
 				require.True(t, err != nil || answer.StatusCode != http.StatusOK, "an answer without end is whole")
 				require.Less(t, time.Since(begin), deadline+time.Second)
-				require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxAllocBytes), "bytes allocated")
+				require.Less(t, allocated, uint64(maxAllocBytes), "bytes allocated")
 			})
 		}
 	}
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"damasktrail.dev/fleet"
+	"damasktrail.dev/internal/response/responsetest"
 )
 
 const (
@@ -30,13 +31,13 @@
 // fields and the body of a sound answer. Nothing of it may reach the caller.
 func requireRefused(t *testing.T, heads []malformedHead) {
 	for _, k := range kinds() {
-		for _, f := range framings {
+		for _, f := range responsetest.Framings {
 			t.Run(fmt.Sprintf("%s, %s", k.name, f), func(t *testing.T) {
 				t.Parallel()
 				s := startWithRaw(t, func(c *net.TCPConn, r *http.Request) {
 					var i int
 					_, _ = fmt.Sscan(r.Header.Get("Case"), &i)
-					_, _ = io.WriteString(c, heads[i].status+"\r\n"+heads[i].lines+k.head(f, r.Header.Get("Attempt-Id"))+"\r\n"+k.encode(f, len(k.body)))
+					_, _ = io.WriteString(c, heads[i].status+"\r\n"+heads[i].lines+k.head(f, r.Header.Get("Attempt-Id"))+"\r\n"+f.Encode(k.body, len(k.body)))
 					_ = c.SetReadDeadline(time.Now().Add(openTime))
 					_, _ = io.Copy(io.Discard, r.Body)
 					_, _ = c.Read(make([]byte, 1))
@@ -75,7 +76,7 @@
 	const early = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\n"
 	k := kinds()[0]
 	s := startWithRaw(t, func(c *net.TCPConn, r *http.Request) {
-		_, _ = io.WriteString(c, early+k.head(withNone, r.Header.Get("Attempt-Id"))+"\r\n"+k.body)
+		_, _ = io.WriteString(c, early+k.head(responsetest.Neither, r.Header.Get("Attempt-Id"))+"\r\n"+k.body)
 		_ = c.CloseWrite()
 		_, _ = io.Copy(io.Discard, r.Body)
 	})
--- a/gateway/raw_test.go
+++ b/gateway/raw_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -9,9 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"damasktrail.dev/fleet"
+	"damasktrail.dev/internal/response/responsetest"
 )
 
 // rawGateway is a gateway with one endpoint whose answers a test writes byte by byte.
@@ -25,24 +23,7 @@
 // connection and answers it with f. The connection is closed afterwards.
 func startWithRaw(t *testing.T, f func(c *net.TCPConn, r *http.Request)) *rawGateway {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					f(c.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	g := &rawGateway{testGateway: start(t), address: l.Addr().String()}
+	g := &rawGateway{testGateway: start(t), address: responsetest.Serve(t, f)}
 	g.renew()
 	time.Sleep(100 * time.Millisecond)
 	return g
@@ -76,41 +57,9 @@
 	}
 }
 
-// framing is how an endpoint marks the end of a body.
-type framing string
-
-const (
-	withLength framing = "length"
-	inChunks   framing = "chunks"
-	withNone   framing = "neither"
-)
-
-// framings are all framings.
-var framings = []framing{withLength, inChunks, withNone}
-
 // head returns the header fields of an answer.
-func (k kind) head(f framing, id string) string {
-	res := fmt.Sprintf("Attempt-Id: %s\r\nContent-Type: %s\r\n", id, k.contentType)
-	switch f {
-	case withLength:
-		return res + fmt.Sprintf("Content-Length: %d\r\n", len(k.body))
-	case inChunks:
-		return res + "Transfer-Encoding: chunked\r\n"
-	case withNone:
-	}
-	return res
-}
-
-// encode returns the first size bytes of the body, and its end if these are all.
-func (k kind) encode(f framing, size int) string {
-	if f != inChunks {
-		return k.body[:size]
-	}
-	res := fmt.Sprintf("%x\r\n%s\r\n", size, k.body[:size])
-	if size == len(k.body) {
-		res += "0\r\n\r\n"
-	}
-	return res
+func (k kind) head(f responsetest.Framing, id string) string {
+	return fmt.Sprintf("Attempt-Id: %s\r\nContent-Type: %s\r\n", id, k.contentType) + f.Field(len(k.body))
 }
 
 const (
