--- a/review/standin-4/main.go
+++ b/review/standin-4/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]func(*play) (outcome, error){
 	"restored-store": restoredStore,
+	"slow-bodies":    slowBodies,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-4/restored.go
+++ b/review/standin-4/restored.go
@@ -103,17 +103,23 @@
 	r.store.put("servers/"+r.id, r.entry())
 }
 
-// simpleConfig has one route to the application.
+// simpleConfig has two routes to the application.
 func simpleConfig(version int) map[string]any {
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
 			"name": "r-verdict", "host": "jury.example", "path_prefix": "/verdict/", "route_type": "non_idempotent", "timeout_ms": 1000,
 			"target_latency_ms": 150, "priority": 2, "service": "dossier-app", "max_attempts": 1, "anonymous": false,
+		}, {
+			"name": "r-notes", "host": "jury.example", "path_prefix": "/notes/", "route_type": "non_idempotent", "timeout_ms": 15000,
+			"target_latency_ms": 600, "priority": 2, "service": "dossier-app", "max_attempts": 1, "anonymous": false,
 		}},
 		"services": []map[string]any{{"name": "dossier-app", "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "t1", "api_keys": []string{"key-of-t1"}, "rate_per_s": 0, "burst": 0}},
+		"tenants": []map[string]any{
+			{"name": "t1", "api_keys": []string{"key-of-t1"}, "rate_per_s": 0, "burst": 0},
+			{"name": "t2", "api_keys": []string{"key-of-t2"}, "rate_per_s": 0, "burst": 0},
+		},
 	}
 }
 
