Review: a request whose crashes go dark is never refused (case 19)

Cause: only a refused connection counts as evidence of a crash. Change: a script with replicas that go dark; nothing of the product.

--- /dev/null
+++ b/review/19/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/review-standin-4 ]; then
+  bash review/build-4.sh || exit 2
+fi
+exec target/review-standin-4 bad-request "$PWD" review/19/record.txt
--- a/review/standin-4/main.go
+++ b/review/standin-4/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(*play) (outcome, error){
 	"restored-store": restoredStore,
 	"slow-bodies":    slowBodies,
+	"bad-request":    badRequest,
 }
 
 func main() { os.Exit(run()) }
