--- a/review/standin-4/oldlist.go
+++ b/review/standin-4/oldlist.go
@@ -38,7 +38,7 @@
 		}
 		replicas = append(replicas, r)
 	}
-	d.store.put("op/config", simpleConfig(3))
+	d.store.put(wire.Configuration, configuration)
 	p.fleet("gent-a", "gent-b", "brussel-c", "gent-a", "gent-a", "gent-b", "gent-b", "brussel-c")
 	coordinator := p.gateways[0]
 	d.outOfTouch = coordinator.name
--- a/review/standin-4/poison.go
+++ b/review/standin-4/poison.go
@@ -59,17 +59,17 @@
 	f.slot = make(chan struct{}, f.slots)
 	f.server = &http.Server{Handler: http.HandlerFunc(f.serveFragile)}
 	server := f.server
-	go func() { _ = server.Serve(l) }()
+	background.Go(func() { _ = server.Serve(l) })
 	f.store.put("servers/"+f.id, f.entry())
 	return nil
 }
 
 func (f *fragile) serveFragile(w http.ResponseWriter, q *http.Request) {
-	id := q.Header.Get("Attempt-Id")
+	id := q.Header.Get(wire.ID)
 	f.world.mu.Lock()
 	down := f.down
 	f.world.mu.Unlock()
-	if down == nil && strings.HasSuffix(q.URL.Path, "/bad") && q.Header.Get("Expected-Replica") == f.id {
+	if down == nil && strings.HasSuffix(q.URL.Path, "/bad") && q.Header.Get(wire.Replica) == f.id {
 		down = f.crash(id)
 	}
 	if down != nil {
@@ -97,7 +97,7 @@
 	x.record.printf("%s, the bad request, reaches replica %s and crashes it: crash %d, %d retries late, %d others in progress", id, f.id, len(x.crashes), x.late, len(f.slot))
 	old, server, down := f.id, f.server, f.down
 	if !x.trouble {
-		go func() { _ = server.Close() }()
+		background.Go(func() { _ = server.Close() })
 	}
 	time.AfterFunc(entryTimeout, func() { f.store.remove("servers/" + old) })
 	time.AfterFunc(downTime, func() {
@@ -131,7 +131,7 @@
 		}
 		defer func() { f.stop() }()
 	}
-	s.put("op/config", simpleConfig(3))
+	s.put(wire.Configuration, configuration)
 	p.fleet("gent-a", "gent-a", "gent-b", "gent-b", "brussel-c")
 	if err := p.startFleet(s.address); err != nil {
 		return res, err
@@ -148,7 +148,7 @@
 		c := newChannel(p.gateways[n%len(p.gateways)], "")
 		limit, cancel := context.WithTimeout(context.Background(), poisonPatience+time.Second)
 		a := c.ask(limit, http.MethodPost, "jury.example", "/notes/bad", id, map[string]string{
-			"Deadline-Ms": fmt.Sprint(poisonPatience.Milliseconds()), "X-Api-Key": "key-of-t1",
+			wire.Deadline: fmt.Sprint(poisonPatience.Milliseconds()), wire.Key: "key-of-t1",
 		}, strings.NewReader("the bad request"))
 		cancel()
 		c.client.CloseIdleConnections()
--- a/review/standin-4/restored.go
+++ b/review/standin-4/restored.go
@@ -38,7 +38,7 @@
 	defer r.mu.Unlock()
 	return map[string]any{
 		"service": "dossier-app", "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": r.state,
-		"cold_remaining_ms": 0, "sequence": 1, "born": r.born,
+		wire.Cold: 0, "sequence": 1, "born": r.born,
 	}
 }
 
@@ -51,7 +51,7 @@
 	r.address, r.state, r.born = l.Addr().String(), "ready", time.Now().UnixMilli()
 	r.slot, r.stopBeat = make(chan struct{}, r.slots), make(chan struct{})
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
-	go func() { _ = r.server.Serve(l) }()
+	background.Go(func() { _ = r.server.Serve(l) })
 	r.store.put("servers/"+r.id, r.entry())
 	return nil
 }
@@ -60,10 +60,10 @@
 func (r *replica) stop() { _ = r.server.Close() }
 
 func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
-	id := q.Header.Get("Attempt-Id")
-	if q.Header.Get("Expected-Replica") != r.id {
-		w.Header().Set("Attempt-Id", id)
-		w.Header().Set("Not-Executed", "1")
+	id := q.Header.Get(wire.ID)
+	if q.Header.Get(wire.Replica) != r.id {
+		w.Header().Set(wire.ID, id)
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -82,9 +82,9 @@
 		r.cutOff(id)
 		return
 	}
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Response-Signature", fmt.Sprintf("%s.%s", r.id, id))
-	w.Header().Set("Replica-Load", fmt.Sprintf("%d,0,%d", len(r.slot), r.slots))
+	w.Header().Set(wire.ID, id)
+	w.Header().Set(wire.Signature, fmt.Sprintf("%s.%s", r.id, id))
+	w.Header().Set(wire.Load, fmt.Sprintf("%d,0,%d", len(r.slot), r.slots))
 	w.Header().Set("Keep-Alive", "timeout=10")
 	_, _ = w.Write([]byte("done " + id))
 }
@@ -103,26 +103,6 @@
 	r.store.put("servers/"+r.id, r.entry())
 }
 
-// simpleConfig has two routes to the application.
-func simpleConfig(version int) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-verdict", "host": "jury.example", "path_prefix": "/verdict/", "route_type": "non_idempotent", "timeout_ms": 1000,
-			"target_latency_ms": 150, "priority": 2, "service": "dossier-app", "max_attempts": 1, "anonymous": false,
-		}, {
-			"name": "r-notes", "host": "jury.example", "path_prefix": "/notes/", "route_type": "non_idempotent", "timeout_ms": 15000,
-			"target_latency_ms": 600, "priority": 2, "service": "dossier-app", "max_attempts": 1, "anonymous": false,
-		}},
-		"services": []map[string]any{{"name": "dossier-app", "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{
-			{"name": "t1", "api_keys": []string{"key-of-t1"}, "rate_per_s": 0, "burst": 0},
-			{"name": "t2", "api_keys": []string{"key-of-t2"}, "rate_per_s": 0, "burst": 0},
-		},
-	}
-}
-
 const (
 	heartbeat       = 1200 * time.Millisecond
 	drainTime       = 2 * time.Second // drain_ms
@@ -229,7 +209,7 @@
 			r.stop()
 		}
 	}()
-	d.store.put("op/config", simpleConfig(3))
+	d.store.put(wire.Configuration, configuration)
 	p.fleet("gent-a", "gent-a", "gent-b", "gent-b", "brussel-c")
 	if err := p.startFleet(d.store.address); err != nil {
 		return res, err
@@ -269,9 +249,7 @@
 	for i, g := range p.gateways {
 		channels[i] = newChannel(g, "")
 	}
-	all.Add(1)
-	go func() {
-		defer all.Done()
+	all.Go(func() {
 		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 		defer ticker.Stop()
 		for n := 0; ; n++ {
@@ -281,24 +259,22 @@
 			case <-ticker.C:
 			}
 			c, g := channels[n%len(channels)], p.gateways[n%len(channels)]
-			all.Add(1)
-			go func() {
-				defer all.Done()
+			all.Go(func() {
 				id := fmt.Sprintf("%016x", lastID.Add(1))
 				sent.Add(1)
 				p.sentTo.Store(id, g.name)
 				p.record.printf("%s sent to %s", id, g.name)
 				limit, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 				defer cancel()
-				a := c.ask(limit, http.MethodPost, "jury.example", "/verdict/"+id, id, map[string]string{"Deadline-Ms": "1000", "X-Api-Key": "key-of-t1"}, nil)
+				a := c.ask(limit, http.MethodPost, "jury.example", "/verdict/"+id, id, map[string]string{wire.Deadline: "1000", wire.Key: "key-of-t1"}, nil)
 				p.record.printf("%s answered: status %d, error %v", id, a.status, a.err)
 				if a.err == nil && a.status == http.StatusOK && a.signed {
 					answered.Add(1)
 				} else {
 					lost.Add(1)
 				}
-			}()
+			})
 		}
-	}()
+	})
 	return &all
 }
--- a/review/standin-4/store.go
+++ b/review/standin-4/store.go
@@ -59,11 +59,11 @@
 	}
 	s.address = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.key)
-	mux.HandleFunc("GET /kv-range", s.list)
-	mux.HandleFunc("GET /kv-watch", s.watch)
+	mux.HandleFunc(wire.Read, s.key)
+	mux.HandleFunc(wire.Range, s.list)
+	mux.HandleFunc(wire.Watch, s.watch)
 	s.server = &http.Server{Handler: mux}
-	go func() { _ = s.server.Serve(l) }()
+	background.Go(func() { _ = s.server.Serve(l) })
 	return nil
 }
 
--- a/review/standin-4/world.go
+++ b/review/standin-4/world.go
@@ -155,6 +155,9 @@
 	return errors.New(g.name + " is not ready")
 }
 
+// background has the tasks that end with the process.
+var background sync.WaitGroup
+
 // lastID numbers the requests.
 var lastID atomic.Uint64
 
@@ -192,7 +195,7 @@
 		return reply{err: err}
 	}
 	r.Host = host
-	r.Header.Set("Attempt-Id", id)
+	r.Header.Set(wire.ID, id)
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
@@ -202,5 +205,5 @@
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(res.Body)
-	return reply{status: res.StatusCode, signed: res.Header.Get("Response-Signature") != "", body: data, err: err}
+	return reply{status: res.StatusCode, signed: res.Header.Get(wire.Signature) != "", body: data, err: err}
 }
