Coordinator: grant nothing before the list has been the newest once

Cause: the first read of the endpoints is the cheap one, whose answer may be seconds old. The watch that makes up for it came after the wait for peers (up to 250 ms) and waited itself for up to 2.5 s where nothing changed further. Meanwhile peers still held the restarted entry elected and it granted slots by the old list.

Change: after a cheap read the catalog asks at once what has changed (a watch of 1 ms), and EndpointsSettled says whether an answer that is not cheap has come since the start. A coordinator answers asks with "unknown" until then; its clients ask the next candidate, as they do when it has no table. An entry that does not follow the store, or has dropped its list, counts as settled.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,6 +27,8 @@
 	// next watch, so that one watch returns several changes. Without it, each
 	// endpoint of a starting fleet would end a watch of every entry.
 	endpointsWatchDelay = 250 * time.Millisecond
+	// checkWait is the wait of a watch that only asks whether there are changes.
+	checkWait = time.Millisecond
 	// firstConfirmAge is the age of the table at which the first entry of a fleet
 	// asks the directory to confirm it. Each further entry waits confirmAgeStep
 	// longer, so that one call confirms the table for the whole fleet. The ages are
@@ -110,6 +112,9 @@
 	// endpointsRevision is the revision up to which the list of endpoints is known,
 	// endpointsChanged that of its last change.
 	endpointsRevision, endpointsChanged atomic.Uint64
+	// endpointsSettled says that the list of endpoints has been the newest at some time
+	// since the start, or has been dropped.
+	endpointsSettled atomic.Bool
 	// endpointsFailedAt is the uptime at which the first call for the endpoints failed
 	// since one succeeded; zero when the last one has. It has one owner.
 	endpointsFailedAt time.Duration
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -35,13 +35,17 @@
 	// revision grows with each change; tableRevision is the revision of the last
 	// change of the table.
 	revision, tableRevision uint64
+	// old is returned by cheap reads of the endpoints unless it is nil.
+	old *damasktrail.EndpointUpdate
 	// err is returned by each call unless it is nil.
 	err error
 	// stuck makes watches report no changes.
 	stuck bool
 	// deaf makes watches that wait report no changes.
-	deaf  bool
-	calls int
+	deaf bool
+	// silent makes watches of the endpoints wait until they are cancelled.
+	silent bool
+	calls  int
 	// head is the time to the start of a watch's answer, transfer how long a table takes
 	// to arrive after it, transfers the number of tables that have begun to, reads that
 	// of full reads of the table.
@@ -94,10 +98,13 @@
 	}
 }
 
-func (d *fakeDirectory) Endpoints(_ context.Context, _ bool) (damasktrail.EndpointUpdate, error) {
+func (d *fakeDirectory) Endpoints(_ context.Context, cheap bool) (damasktrail.EndpointUpdate, error) {
 	err := d.countCall()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if cheap && d.old != nil {
+		return *d.old, err
+	}
 	res := damasktrail.EndpointUpdate{Revision: d.revision, Changed: d.revision}
 	for _, e := range d.list.All() {
 		res.Changes = append(res.Changes, damasktrail.EndpointChange{Endpoint: e})
@@ -149,6 +156,13 @@
 }
 
 func (d *fakeDirectory) WatchEndpoints(ctx context.Context, w damasktrail.Watch) (damasktrail.EndpointUpdate, error) {
+	d.mu.Lock()
+	silent := d.silent
+	d.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return damasktrail.EndpointUpdate{}, ctx.Err()
+	}
 	if err := d.awaitChange(ctx, &d.revision, w.After, w.Wait); err != nil {
 		return damasktrail.EndpointUpdate{}, err
 	}
@@ -179,7 +193,7 @@
 // runInFleet is runCatalog with a fleet.
 func runInFleet(t *testing.T, d *fakeDirectory, fleet catalog.Fleet, f func(c *catalog.Catalog)) {
 	synctest.Test(t, func(t *testing.T) {
-		d.revision = 1
+		d.revision = max(1, d.revision)
 		d.table = newTable(t, 1)
 		tasks := group.New(context.Background())
 		start := time.Now()
@@ -655,6 +669,30 @@
 	}
 }
 
+// Guards against a first list that is taken for new although the read that brought it may
+// be old: only the answer to a watch settles it, and that is asked for at once.
+func TestFirstListMayBeOld(t *testing.T) {
+	old := damasktrail.EndpointUpdate{Revision: 1, Changes: []damasktrail.EndpointChange{{Endpoint: fleet.Endpoint{ID: "a", Slots: 1}}}}
+	d := &fakeDirectory{old: &old, stuck: true}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		require.True(t, c.EndpointsSettled(), "a watch without changes confirms the list")
+	})
+	d = &fakeDirectory{old: &old}
+	d.update(func() {})
+	d.update(func() { d.list = fleet.Of(fleet.Endpoint{ID: "a", Slots: 1, State: fleet.Leaving}) })
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		e, _ := c.Snapshot().Endpoints.Find("a")
+		require.Equal(t, fleet.Leaving, e.State)
+		require.True(t, c.EndpointsSettled())
+	})
+	d = &fakeDirectory{old: &old, silent: true}
+	runCatalog(t, d, func(c *catalog.Catalog) {
+		require.Len(t, c.Snapshot().Endpoints.All(), 1)
+		time.Sleep(2 * time.Second)
+		require.False(t, c.EndpointsSettled(), "no watch has been answered")
+	})
+}
+
 // Guards against a watch of the endpoints that misses a change without an error: a
 // peer that knows the change makes the catalog read the list.
 func TestHintEndpoints(t *testing.T) {
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -51,6 +51,9 @@
 		// An endpoint cannot have lapsed in an outage that only this entry has had.
 		c.replace(news, f.outage && !c.turnedAway.Load(), c.clock.Now())
 		c.endpointsChanged.Store(max(c.endpointsChanged.Load(), news.Changed))
+		if !f.cheapRead {
+			c.endpointsSettled.Store(true)
+		}
 		f.succeeded(news.Revision)
 		return false, nil
 	}
@@ -62,9 +65,13 @@
 		c.apply(news)
 		c.expire(c.clock.Now())
 		c.endpointsChanged.Store(max(c.endpointsChanged.Load(), news.Revision))
+		c.endpointsSettled.Store(true)
+		f.cheapRead = false
 		f.succeeded(news.Revision)
 	case errors.Is(err, damasktrail.ErrUnchanged):
 		c.expire(c.clock.Now())
+		c.endpointsSettled.Store(true)
+		f.cheapRead = false
 		f.succeeded(f.revision)
 	}
 	return err == nil, err
@@ -73,15 +80,18 @@
 // readEndpoints reads the full list. The first list may be old, since the watch that
 // follows returns what has changed meanwhile.
 func (c *Catalog) readEndpoints(ctx context.Context, f *follower) (damasktrail.EndpointUpdate, error) {
-	if f.revision == 0 && !f.historyGone {
-		return c.directory.Endpoints(ctx, true)
-	}
-	return c.directory.Endpoints(ctx, false)
+	f.cheapRead = f.revision == 0 && !f.historyGone
+	return c.directory.Endpoints(ctx, f.cheapRead)
 }
 
+// EndpointsSettled reports whether the list of endpoints has been the newest at some time
+// since the start, or has been dropped. Before, it may be seconds old.
+func (c *Catalog) EndpointsSettled() bool { return c.endpointsSettled.Load() }
+
 // dropEndpoints empties the list, which would grow old while this entry does not
 // follow the directory.
 func (c *Catalog) dropEndpoints() {
+	c.endpointsSettled.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := *c.current.Load()
@@ -165,10 +175,14 @@
 }
 
 // watchEndpoints waits for changes of the endpoints. While endpoints are missing,
-// it waits for at most half of missingGrace, so that they are removed in time.
+// it waits for at most half of missingGrace, so that they are removed in time. After a
+// read that may be old it asks at once what has changed since.
 func (c *Catalog) watchEndpoints(ctx context.Context, f *follower, began func()) (damasktrail.EndpointUpdate, error) {
 	wait := endpointsWatchTimeout
-	if c.hasMissing() {
+	switch {
+	case f.cheapRead:
+		wait = checkWait
+	case c.hasMissing():
 		wait = missingGrace / 2
 	}
 	return c.directory.WatchEndpoints(ctx, damasktrail.Watch{After: f.revision, Wait: wait, Receiving: began})
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -23,6 +23,9 @@
 	awaitedPeers bool
 	// historyGone says that the directory's history has been lost since the start.
 	historyGone bool
+	// cheapRead says that the value may be seconds old: it comes from a read of that kind,
+	// and no watch has answered since.
+	cheapRead bool
 	// fullRead reports whether the last call was a full read.
 	fullRead bool
 	// lastFullRead is the time of the last full read.
--- a/catalog/table.go
+++ b/catalog/table.go
@@ -80,7 +80,7 @@
 	start := c.uptime()
 	c.tableRereads.receive(func(began func()) {
 		var news damasktrail.TableUpdate
-		news, err = c.directory.WatchTable(ctx, damasktrail.Watch{After: revision, Wait: time.Millisecond, Receiving: began})
+		news, err = c.directory.WatchTable(ctx, damasktrail.Watch{After: revision, Wait: checkWait, Receiving: began})
 		if err == nil {
 			c.adoptTable(news, callConfirmation, start)
 			next = news.Revision
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -45,8 +45,9 @@
 	notices   *fleet.Notices
 	client    *coordinator.Client
 	server    *coordinator.Server
-	// down says that the entry gets and sends nothing.
-	down bool
+	// down says that the entry gets and sends nothing, unsettled that its list of endpoints
+	// may be old.
+	down, unsettled bool
 }
 
 const (
@@ -91,7 +92,7 @@
 	n := p.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	p.server = coordinator.NewServer(p.scheduler, p.notices, n.clock, n.tasks, quiet(), p.Send)
+	p.server = coordinator.NewServer(p.scheduler, p, p.notices, n.clock, n.tasks, quiet(), p.Send)
 }
 
 // report delivers the reports of the entries that have changed to the coordinators.
@@ -177,6 +178,19 @@
 	return p.network.election.IsCoordinator(name)
 }
 
+// Settled implements coordinator.Lists.
+func (p *node) Settled() bool {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	return !p.unsettled
+}
+
+// settledLists are lists that are always new.
+type settledLists struct{}
+
+// Settled implements coordinator.Lists.
+func (settledLists) Settled() bool { return true }
+
 // Alive implements coordinator.Fleet.
 func (p *node) Alive(name string) bool { return p.Available(name) }
 
--- a/coordinator/load_test.go
+++ b/coordinator/load_test.go
@@ -152,6 +152,25 @@
 	})
 }
 
+// Guards against a coordinator that has just started and grants slots by a list that may be
+// old: its clients ask the next one until it knows that its list is new.
+func TestStartedCoordinatorGrantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(members(3, 8), fleet.Of(fleet.Endpoint{ID: "e", Service: "llm", Domain: "d0", Slots: 4}), 0)
+		defer n.close()
+		client, server := n.nodes["entry-0-01"], n.nodes["entry-0-00"]
+		for _, unsettled := range []bool{true, false} {
+			n.mu.Lock()
+			server.unsettled = unsettled
+			n.mu.Unlock()
+			s, refused := client.client.Acquire(context.Background(), dispatch.Request{Service: "llm", Engine: true, Objective: time.Second, Timeout: 10 * time.Second})
+			require.Nil(t, refused)
+			require.Equal(t, !unsettled, s.Coordinator == server.Name)
+			s.Done(dispatch.Answered, 0)
+		}
+	})
+}
+
 // Guards against a slot at an endpoint that has asked the client for a pause while the
 // grant was on its way.
 func TestEndpointClosesDuringAsk(t *testing.T) {
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -34,10 +34,19 @@
 	Acquire(ctx context.Context, r dispatch.Request) (*dispatch.Grant, *damasktrail.Refusal)
 }
 
+// Lists tells a server how new the lists are by which its scheduler decides. Its methods
+// must not block.
+type Lists interface {
+	// Settled reports whether the lists have been the newest at some time since the start.
+	// Until then the server grants nothing.
+	Settled() bool
+}
+
 // Server grants slots of its scheduler to other entries. It is safe for concurrent
 // use.
 type Server struct {
 	scheduler Scheduler
+	lists     Lists
 	// notices has the limits that the scheduler keeps to.
 	notices *fleet.Notices
 	clock   damasktrail.Clock
@@ -68,10 +77,10 @@
 	changedAt time.Time
 }
 
-// NewServer returns a server that grants the slots of the scheduler. What clients report of
-// limits is added to the notices.
-func NewServer(scheduler Scheduler, notices *fleet.Notices, clock damasktrail.Clock, tasks *group.Group, log *slog.Logger, send func(client string, datagram []byte)) *Server {
-	return &Server{scheduler: scheduler, notices: notices, clock: clock, tasks: tasks, log: log, send: send, clients: map[string]*clientState{}}
+// NewServer returns a server that grants the slots of the scheduler, which decides by the
+// lists. What clients report of limits is added to the notices.
+func NewServer(scheduler Scheduler, lists Lists, notices *fleet.Notices, clock damasktrail.Clock, tasks *group.Group, log *slog.Logger, send func(client string, datagram []byte)) *Server {
+	return &Server{scheduler: scheduler, lists: lists, notices: notices, clock: clock, tasks: tasks, log: log, send: send, clients: map[string]*clientState{}}
 }
 
 // receive handles a message of a client.
@@ -117,7 +126,7 @@
 		s.reply(client, m, reply)
 		return
 	}
-	if len(c.asks) >= maxAsksPerClient || !s.scheduler.Ready() {
+	if len(c.asks) >= maxAsksPerClient || !s.lists.Settled() || !s.scheduler.Ready() {
 		s.mu.Unlock()
 		s.sendMessage(client, message{Kind: kindUnknown, Boot: m.Boot, ID: m.ID})
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,7 +153,7 @@
 	g.followEvacuations()
 	g.scheduler.SetRegions(s.Regions)
 	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, g.notices, clock, log)
-	g.slotServer = coordinator.NewServer(g.scheduler, g.notices, clock, tasks, log, func(client string, datagram []byte) { g.exchange.Send(client, datagram) })
+	g.slotServer = coordinator.NewServer(g.scheduler, slotLists{g}, g.notices, clock, tasks, log, func(client string, datagram []byte) { g.exchange.Send(client, datagram) })
 	self := coordinator.Member{Name: s.Name, Domain: s.Domain, Millicores: s.Millicores}
 	g.exchange, err = exchange.New(self, s.Peers, s.Seeds, boot, exchangeHandler{g}, clock, uptime, log)
 	if err != nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -34,6 +34,10 @@
 	endpoints fleet.List
 	revision  uint64
 	down      bool
+	// old is returned by cheap reads of the endpoints unless it is nil.
+	old *damasktrail.EndpointUpdate
+	// watchDelay is added to each watch of the endpoints.
+	watchDelay time.Duration
 	// evacuated has failure domains.
 	evacuated []string
 }
@@ -54,9 +58,12 @@
 	return damasktrail.TableUpdate{Table: d.table, Revision: d.revision}, nil
 }
 
-func (d *fakeDirectory) Endpoints(_ context.Context, _ bool) (damasktrail.EndpointUpdate, error) {
+func (d *fakeDirectory) Endpoints(_ context.Context, cheap bool) (damasktrail.EndpointUpdate, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if cheap && d.old != nil {
+		return *d.old, nil
+	}
 	res := damasktrail.EndpointUpdate{Revision: d.revision}
 	for _, e := range d.endpoints.All() {
 		res.Changes = append(res.Changes, damasktrail.EndpointChange{Endpoint: e})
@@ -87,6 +94,14 @@
 }
 
 func (d *fakeDirectory) WatchEndpoints(ctx context.Context, w damasktrail.Watch) (damasktrail.EndpointUpdate, error) {
+	d.mu.Lock()
+	delay := d.watchDelay
+	d.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return damasktrail.EndpointUpdate{}, ctx.Err()
+	}
 	if err := d.waitForChange(ctx, w.After, w.Wait); err != nil {
 		return damasktrail.EndpointUpdate{}, err
 	}
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -35,6 +35,14 @@
 // Send implements coordinator.Fleet.
 func (f slotFleet) Send(name string, datagram []byte) { f.g.exchange.Send(name, datagram) }
 
+// slotLists tells the server of slots how new the lists of the catalog are.
+type slotLists struct{ g *Gateway }
+
+var _ coordinator.Lists = slotLists{}
+
+// Settled implements coordinator.Lists.
+func (l slotLists) Settled() bool { return l.g.catalog.EndpointsSettled() }
+
 // catalogFleet tells the catalog what part this gateway has in its fleet.
 type catalogFleet struct{ g *Gateway }
 
--- /dev/null
+++ b/gateway/restart_test.go
@@ -0,0 +1,48 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"damasktrail.dev/fleet"
+)
+
+// Guards against requests that reach an endpoint long after it has left, because a coordinator
+// that has just started grants its slots by a first list that may be seconds old.
+func TestCoordinatorStartsWithOldList(t *testing.T) {
+	leaving, staying := newFakeEndpoint(t, respondWith("answer")), newFakeEndpoint(t, respondWith("answer"))
+	members := startFleet(t, 8, leaving, staying)
+	directory := members[0].fakeDirectory
+	require.Eventually(t, func() bool {
+		id := fmt.Sprint("start-", time.Now().UnixNano())
+		return members[2].send("/read/x", id, "").status == http.StatusOK && members[2].log.coordinatorOf(id) == "entry-0"
+	}, 10*time.Second, 20*time.Millisecond)
+	old, err := directory.Endpoints(context.Background(), false)
+	require.NoError(t, err)
+	directory.update(func() {
+		directory.old = &old
+		e, _ := directory.endpoints.Find("e0")
+		e.State = fleet.Leaving
+		directory.endpoints = directory.endpoints.With(e)
+	})
+	time.Sleep(time.Second)
+	directory.update(func() { directory.watchDelay = time.Second })
+	members[0].stop()
+	members[0].start(100)
+	// No request goes out meanwhile: its sender would pass over entry-0 for a while.
+	time.Sleep(400 * time.Millisecond)
+	by, end := "", time.Now().Add(10*time.Second)
+	for i := 0; by != "entry-0"; i++ {
+		require.True(t, time.Now().Before(end), "entry-0 is not the coordinator again")
+		id, m := fmt.Sprint("late-", i), members[2+2*(i%3)]
+		require.Equal(t, http.StatusOK, m.send("/read/x", id, "").status)
+		by = m.log.coordinatorOf(id)
+		require.Zero(t, leaving.runCount(id), "request %s by coordinator %q", id, by)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
