Coordinator: a grant says how new its lists are, and old ones are not used

Cause: a grant carried an address only. A coordinator that is cut off from the store finds out after a watch of 3 s and a read of 0.8 s; until then its clients had no means to see that its list lacked a change that all others knew.

Change: a grant carries the revisions up to which the coordinator knows the endpoints and the evacuations. The catalog keeps a horizon for each: the newest revision that peers, or this entry, have known for half of the bound (drain_ms, now read from the settings; evacuation_ms). A slot granted below the horizon is given back, the next coordinator is asked, and this one only after the others for a second. When the lists of all are below it, the slots are used, so nothing is refused for this while the store is away for all.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,6 +27,9 @@
 	// next watch, so that one watch returns several changes. Without it, each
 	// endpoint of a starting fleet would end a watch of every entry.
 	endpointsWatchDelay = 250 * time.Millisecond
+	// horizonShare is the part of the bound of a change, as a divisor, for which the change
+	// may be known here while others still send by a list without it.
+	horizonShare = 2
 	// checkWait is the wait of a watch that only asks whether there are changes.
 	checkWait = time.Millisecond
 	// firstConfirmAge is the age of the table at which the first entry of a fleet
@@ -122,6 +125,9 @@
 	// a peer.
 	turnedAway  atomic.Bool
 	evacuations evacuations
+	// endpointsHorizon and evacuationsHorizon are the revisions below which a list is too old
+	// to send by it.
+	endpointsHorizon, evacuationsHorizon horizon
 
 	// hintMu guards the fields up to mu.
 	hintMu sync.Mutex
@@ -168,6 +174,20 @@
 	return res
 }
 
+// BoundEndpoints tells the catalog the time in which a change of the endpoints must take
+// effect. It must be called before Start.
+func (c *Catalog) BoundEndpoints(bound time.Duration) {
+	c.endpointsHorizon.setDelay(bound / horizonShare)
+}
+
+// Outdated reports whether lists that are known up to the given revisions are too old to
+// send by them. Changes that they lack have been known to a peer or to this entry for a part
+// of their bound, so that the rest is left for what is under way.
+func (c *Catalog) Outdated(endpoints, evacuations uint64) bool {
+	now := c.uptime()
+	return endpoints < c.endpointsHorizon.at(now) || evacuations < c.evacuationsHorizon.at(now)
+}
+
 // Start watches the directory in goroutines of the group.
 func (c *Catalog) Start(tasks *group.Group) {
 	c.tasks = tasks
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -693,6 +693,46 @@
 	})
 }
 
+// Guards against lists that lack a change for longer than half of its bound, and against
+// lists that are called outdated when they lack only what is new.
+func TestOutdated(t *testing.T) {
+	runCatalog(t, &fakeDirectory{}, func(c *catalog.Catalog) {
+		c.HintEndpoints(9)
+		time.Sleep(time.Minute)
+		require.False(t, c.Outdated(0, 0), "there is no bound")
+	})
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		uptime := func() time.Duration { return time.Hour + time.Since(start) }
+		tasks := group.New(context.Background())
+		c := catalog.New(&fakeDirectory{}, timer.New(tasks), uptime, &fakeFleet{}, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+		defer tasks.Close()
+		c.BoundEndpoints(2 * time.Second)
+		c.FollowEvacuations(4 * time.Second)
+		c.HintEndpoints(5)
+		c.HintEvacuations(8)
+		time.Sleep(990 * time.Millisecond)
+		require.False(t, c.Outdated(0, 0))
+		time.Sleep(20 * time.Millisecond)
+		require.True(t, c.Outdated(4, 8))
+		require.False(t, c.Outdated(5, 0))
+		time.Sleep(time.Second)
+		require.True(t, c.Outdated(5, 7))
+		require.False(t, c.Outdated(5, 8))
+		// Changes that follow each other without a pause, reported by many peers.
+		for revision := uint64(100); revision < 1100; revision++ {
+			c.HintEndpoints(revision)
+			c.HintEndpoints(revision - 7)
+			time.Sleep(5 * time.Millisecond)
+			if age := 5 * time.Millisecond * time.Duration(revision-99); age > 1200*time.Millisecond {
+				known := revision - 199
+				require.False(t, c.Outdated(known, 8))
+				require.True(t, c.Outdated(known-15, 8))
+			}
+		}
+	})
+}
+
 // Guards against a watch of the endpoints that misses a change without an error: a
 // peer that knows the change makes the catalog read the list.
 func TestHintEndpoints(t *testing.T) {
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -31,6 +31,7 @@
 			delay = f.failed(ctx, err, c.longestBackoff())
 		}
 		c.endpointsRevision.Store(f.revision)
+		c.endpointsHorizon.add(c.endpointsChanged.Load(), c.uptime())
 		c.recordEndpointsCall(start, &f, err)
 		_ = c.clock.Sleep(ctx, delay)
 	}
@@ -108,10 +109,14 @@
 // entry knows.
 func (c *Catalog) EndpointsChanged() uint64 { return c.endpointsChanged.Load() }
 
+// EndpointsRevision returns the revision up to which this entry knows the endpoints.
+func (c *Catalog) EndpointsRevision() uint64 { return c.endpointsRevision.Load() }
+
 // HintEndpoints reports that a peer knows a change of the endpoints of that revision.
 // If the catalog still does not know it after maxBehind, the list is read at once.
 func (c *Catalog) HintEndpoints(revision uint64) {
 	now := c.uptime()
+	c.endpointsHorizon.add(revision, now)
 	c.hintMu.Lock()
 	defer c.hintMu.Unlock()
 	c.newestEndpoints = max(c.newestEndpoints, revision)
--- a/catalog/evacuations.go
+++ b/catalog/evacuations.go
@@ -50,6 +50,7 @@
 // in which a change must take effect. It must be called before Start.
 func (c *Catalog) FollowEvacuations(bound time.Duration) {
 	c.evacuations.bound = bound
+	c.evacuationsHorizon.setDelay(bound / horizonShare)
 	c.evacuations.rereads = newRereads(c.clock, c.evacuationsBehind)
 	s := *c.current.Load()
 	s.EvacuationsKnown = false
@@ -78,6 +79,9 @@
 // entry knows.
 func (c *Catalog) EvacuationsChanged() uint64 { return c.evacuations.changed.Load() }
 
+// EvacuationsRevision returns the revision up to which this entry knows the evacuations.
+func (c *Catalog) EvacuationsRevision() uint64 { return c.evacuations.revision.Load() }
+
 // HintEvacuations reports that a peer knows a change of the evacuations of that revision. If
 // the catalog still does not know it after maxBehind, they are read at once.
 func (c *Catalog) HintEvacuations(revision uint64) {
@@ -86,6 +90,7 @@
 		return
 	}
 	now := c.uptime()
+	c.evacuationsHorizon.add(revision, now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.newest = max(e.newest, revision)
@@ -129,6 +134,7 @@
 			delay = endpointsWatchDelay
 		}
 		c.evacuations.revision.Store(f.revision)
+		c.evacuationsHorizon.add(c.evacuations.changed.Load(), c.uptime())
 		if !errors.Is(err, errReread) {
 			c.evacuations.checkedAt.Store(int64(c.uptime()))
 		}
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -23,6 +23,9 @@
 	checkInterval = 100 * time.Millisecond
 	// unresponsiveTime is how long a coordinator that did not reply is not asked.
 	unresponsiveTime = time.Second
+	// outdatedTime is how long a coordinator that granted a slot by outdated lists is asked
+	// only after the others.
+	outdatedTime = time.Second
 	// holdingsInterval is the time between two lists of holdings.
 	holdingsInterval = 200 * time.Millisecond
 	// emptyHoldingsTime is how long a coordinator gets lists, also empty ones, after
@@ -51,6 +54,8 @@
 	Available(name string) bool
 	// Alive reports whether an entry still counts the slots that it has granted.
 	Alive(name string) bool
+	// Outdated reports whether lists of those revisions are too old to send by them.
+	Outdated(lists Revisions) bool
 	// Send sends a datagram to an entry.
 	Send(name string, datagram []byte)
 }
@@ -75,6 +80,8 @@
 	held    map[uint64]*Slot
 	// unresponsive has the time until which a coordinator is not asked.
 	unresponsive map[string]time.Time
+	// outdated has the time until which a coordinator is asked only after the others.
+	outdated map[string]time.Time
 	// lastUse has the time at which an ask or slot at a coordinator last began or
 	// ended, by the name of the coordinator.
 	lastUse map[string]time.Time
@@ -98,6 +105,8 @@
 	// Coordinator is the entry that granted the slot.
 	Coordinator string
 
+	// lists are the revisions of the lists by which the coordinator granted the slot.
+	lists Revisions
 	// grant is set when the slot is one of this entry's own scheduler.
 	grant  *dispatch.Grant
 	client *Client
@@ -117,7 +126,7 @@
 func NewClient(name string, boot uint64, peers Fleet, local Scheduler, notices *fleet.Notices, clock damasktrail.Clock, log *slog.Logger) *Client {
 	return &Client{
 		name: name, boot: boot, fleet: peers, local: local, notices: notices, clock: clock, log: log,
-		waiting: map[uint64]*waitingAsk{}, held: map[uint64]*Slot{}, unresponsive: map[string]time.Time{}, lastUse: map[string]time.Time{},
+		waiting: map[uint64]*waitingAsk{}, held: map[uint64]*Slot{}, unresponsive: map[string]time.Time{}, outdated: map[string]time.Time{}, lastUse: map[string]time.Time{},
 	}
 }
 
@@ -145,15 +154,20 @@
 	}
 }
 
-// acquire waits for one slot.
+// acquire waits for one slot. A coordinator whose lists are outdated is asked after the
+// others; when none of them replies, its slots are taken all the same.
 func (c *Client) acquire(ctx context.Context, r dispatch.Request) (*Slot, *damasktrail.Refusal) {
 	start := c.clock.Now()
 	r.Closed = c.notices.Closures(r.Service, maxClosures, start)
-	for _, name := range c.order() {
-		if name == c.name {
-			break
+	names, current := c.order()
+	for i := 0; i < len(names) && names[i] != c.name; i++ {
+		s, refused, replied := c.ask(ctx, names[i], r.WithElapsed(c.clock.Now().Sub(start)))
+		if s != nil && i < current && c.fleet.Outdated(s.lists) {
+			s.Done(dispatch.Cancelled, 0)
+			c.recordOutdated(s.Coordinator, s.lists)
+			names = append(names, s.Coordinator)
+			continue
 		}
-		s, refused, replied := c.ask(ctx, name, r.WithElapsed(c.clock.Now().Sub(start)))
 		if replied {
 			return s, refused
 		}
@@ -165,20 +179,26 @@
 	return &Slot{Endpoint: grant.Endpoint, Choice: grant.Choice, Coordinator: c.name, grant: grant}, nil
 }
 
-// order returns the coordinators to ask. Those that did not reply lately are left
-// out.
-func (c *Client) order() []string {
+// order returns the coordinators to ask. Those that did not reply lately are left out. The
+// first ones, current in number, are those whose lists are not known to be outdated.
+func (c *Client) order() (names []string, current int) {
 	candidates := c.fleet.Candidates()
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	res := make([]string, 0, len(candidates))
+	var outdated []string
 	for _, name := range candidates {
-		if name == c.name || c.fleet.Available(name) && !now.Before(c.unresponsive[name]) {
-			res = append(res, name)
+		switch {
+		case name == c.name:
+			names = append(names, name)
+		case !c.fleet.Available(name) || now.Before(c.unresponsive[name]):
+		case now.Before(c.outdated[name]):
+			outdated = append(outdated, name)
+		default:
+			names = append(names, name)
 		}
 	}
-	return res
+	return append(names, outdated...), len(names)
 }
 
 // ask asks one coordinator for a slot. replied is false when it does not reply or is
@@ -239,7 +259,7 @@
 
 // hold records a slot that was granted.
 func (c *Client) hold(id uint64, coordinator string, prompt int, s *slot) *Slot {
-	res := &Slot{Endpoint: s.endpoint(), Choice: s.choice(), Coordinator: coordinator, client: c, id: id, prompt: prompt}
+	res := &Slot{Endpoint: s.endpoint(), Choice: s.choice(), Coordinator: coordinator, lists: s.lists(), client: c, id: id, prompt: prompt}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waiting, id)
@@ -266,6 +286,18 @@
 	c.log.Warn("coordinator does not reply", "coordinator", name, "asks", maxAsks)
 }
 
+// recordOutdated records that a coordinator has granted a slot by outdated lists.
+func (c *Client) recordOutdated(name string, lists Revisions) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	known := now.Before(c.outdated[name])
+	c.outdated[name] = now.Add(outdatedTime)
+	c.mu.Unlock()
+	if !known {
+		c.log.Warn("coordinator decides by outdated lists", "coordinator", name, "endpoints", lists.Endpoints, "evacuations", lists.Evacuations)
+	}
+}
+
 // receive handles a message of a coordinator.
 func (c *Client) receive(coordinator string, m message) {
 	if m.Boot != c.boot {
--- a/coordinator/fleet_test.go
+++ b/coordinator/fleet_test.go
@@ -33,8 +33,10 @@
 	deliver  func(from, to string) bool
 	random   *rand.Rand
 	election coordinator.Election
-	nodes    map[string]*node
-	changed  map[string]bool
+	// horizon has the revisions below which lists are outdated.
+	horizon coordinator.Revisions
+	nodes   map[string]*node
+	changed map[string]bool
 }
 
 // node is one entry of the network.
@@ -48,6 +50,8 @@
 	// down says that the entry gets and sends nothing, unsettled that its list of endpoints
 	// may be old.
 	down, unsettled bool
+	// lists are the revisions of its lists.
+	lists coordinator.Revisions
 }
 
 const (
@@ -185,12 +189,29 @@
 	return !p.unsettled
 }
 
+// Revisions implements coordinator.Lists.
+func (p *node) Revisions() coordinator.Revisions {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	return p.lists
+}
+
+// Outdated implements coordinator.Fleet.
+func (p *node) Outdated(lists coordinator.Revisions) bool {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	return lists.Endpoints < p.network.horizon.Endpoints || lists.Evacuations < p.network.horizon.Evacuations
+}
+
 // settledLists are lists that are always new.
 type settledLists struct{}
 
 // Settled implements coordinator.Lists.
 func (settledLists) Settled() bool { return true }
 
+// Revisions implements coordinator.Lists.
+func (settledLists) Revisions() (res coordinator.Revisions) { return res }
+
 // Alive implements coordinator.Fleet.
 func (p *node) Alive(name string) bool { return p.Available(name) }
 
--- a/coordinator/load_test.go
+++ b/coordinator/load_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"damasktrail.dev/coordinator"
 	"damasktrail.dev/dispatch"
 	"damasktrail.dev/fleet"
 )
@@ -171,6 +172,65 @@
 	})
 }
 
+// Guards against requests sent by the lists of a coordinator that lack a change which others
+// have known for long: the next coordinator is asked, the slot is given back, and when the
+// lists of all are so old, requests are served as before.
+func TestOutdatedCoordinatorIsPassedOver(t *testing.T) {
+	newest := coordinator.Revisions{Endpoints: 7, Evacuations: 3}
+	for _, old := range []coordinator.Revisions{{Endpoints: 6, Evacuations: 3}, {Endpoints: 7, Evacuations: 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNetwork(members(3, 8), fleet.Of(fleet.Endpoint{ID: "e", Service: "llm", Domain: "d0", Slots: 4}), 0)
+			defer n.close()
+			client, own := n.nodes["entry-0-01"], n.nodes["entry-0-00"]
+			set := func(lists map[string]coordinator.Revisions) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.horizon = newest
+				for name, p := range n.nodes {
+					p.lists = newest
+					if r, found := lists[name]; found {
+						p.lists = r
+					}
+				}
+			}
+			// acquire returns the coordinator that grants a slot and the time this takes.
+			acquire := func() (name string, took time.Duration) {
+				start := time.Now()
+				s, refused := client.client.Acquire(context.Background(), dispatch.Request{Service: "llm", Engine: true, Objective: time.Second, Timeout: 10 * time.Second})
+				require.Nil(t, refused)
+				took = time.Since(start)
+				s.Done(dispatch.Answered, 0)
+				return s.Coordinator, took
+			}
+			set(nil)
+			name, _ := acquire()
+			require.Equal(t, own.Name, name)
+			set(map[string]coordinator.Revisions{own.Name: old})
+			other, _ := acquire()
+			require.NotEqual(t, own.Name, other)
+			time.Sleep(20 * messageDelay)
+			require.Empty(t, own.scheduler.Report().Loads, "the slot is given back")
+			name, took := acquire()
+			require.Equal(t, other, name)
+			require.Equal(t, 2*messageDelay, took, "the outdated coordinator is not asked again at once")
+			all := map[string]coordinator.Revisions{}
+			for name := range n.nodes {
+				all[name] = old
+			}
+			set(all)
+			for range 20 {
+				_, took := acquire()
+				require.LessOrEqual(t, took, 8*messageDelay)
+				time.Sleep(150 * time.Millisecond)
+			}
+			set(nil)
+			time.Sleep(2 * time.Second)
+			name, _ = acquire()
+			require.Equal(t, own.Name, name)
+		})
+	}
+}
+
 // Guards against a slot at an endpoint that has asked the client for a pause while the
 // grant was on its way.
 func TestEndpointClosesDuringAsk(t *testing.T) {
--- a/coordinator/message.go
+++ b/coordinator/message.go
@@ -100,6 +100,8 @@
 	Percent int
 	Factor  dispatch.Factor
 	Waited  bool
+	// Endpoints and Evacuations are the Revisions of the lists by which the slot was granted.
+	Endpoints, Evacuations uint64
 }
 
 // refusal is the wire format of a damasktrail.Refusal with the outcome NotRun.
@@ -173,12 +175,13 @@
 	return res
 }
 
-func newSlot(g *dispatch.Grant) *slot {
+func newSlot(g *dispatch.Grant, lists Revisions) *slot {
 	e, c := g.Endpoint, g.Choice
 	return &slot{
 		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, StartedMillis: e.StartedMillis, Slots: e.Slots,
 		Own: c.Own, Peers: c.Peers, Free: c.Free, PaceNanos: int64(c.Pace),
 		Percent: c.Percent, Factor: c.Factor, Waited: c.Waited,
+		Endpoints: lists.Endpoints, Evacuations: lists.Evacuations,
 	}
 }
 
@@ -190,6 +193,10 @@
 	return dispatch.Choice{Own: s.Own, Peers: s.Peers, Free: s.Free, Pace: time.Duration(s.PaceNanos), Percent: s.Percent, Factor: s.Factor, Waited: s.Waited}
 }
 
+func (s *slot) lists() Revisions {
+	return Revisions{Endpoints: s.Endpoints, Evacuations: s.Evacuations}
+}
+
 func newRefusal(r *damasktrail.Refusal) *refusal {
 	return &refusal{Reason: r.Reason, RetryAfterNanos: int64(r.RetryAfter), Detail: r.Detail}
 }
--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -40,6 +40,14 @@
 	// Settled reports whether the lists have been the newest at some time since the start.
 	// Until then the server grants nothing.
 	Settled() bool
+	// Revisions returns how far the lists are known.
+	Revisions() Revisions
+}
+
+// Revisions are those of the directory up to which an entry knows the lists by which it
+// decides.
+type Revisions struct {
+	Endpoints, Evacuations uint64
 }
 
 // Server grants slots of its scheduler to other entries. It is safe for concurrent
@@ -164,7 +172,7 @@
 	if refused != nil {
 		reply.Kind, reply.Refusal = kindRefused, newRefusal(refused)
 	} else {
-		reply.Slot = newSlot(grant)
+		reply.Slot = newSlot(grant, s.lists.Revisions())
 	}
 	s.mu.Lock()
 	c := s.clients[client]
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"damasktrail.dev"
 	"damasktrail.dev/fleet"
 	"damasktrail.dev/gateway"
 	"damasktrail.dev/group"
@@ -71,6 +72,8 @@
 	*testGateway
 	log   *logBuffer
 	tasks *group.Group
+	// directory is used in place of the fake one unless it is nil.
+	directory damasktrail.Directory
 }
 
 // startFleet starts gateways of two failure domains on one directory. The first of
@@ -91,7 +94,7 @@
 		m := &fleetMember{testGateway: &testGateway{fakeDirectory: d, t: t}, log: &logBuffer{}}
 		m.settings = gateway.Settings{
 			Name: fmt.Sprintf("entry-%d", i), Domain: fmt.Sprint("d", i%2), Callers: freeAddress(t), Ready: freeAddress(t), Peers: freeAddress(t),
-			Seeds: []string{seed}, Directory: "127.0.0.1:1", Grace: 4 * time.Second, Revocation: 3 * time.Second,
+			Seeds: []string{seed}, Directory: "127.0.0.1:1", Grace: 4 * time.Second, Revocation: 3 * time.Second, Drain: 2 * time.Second,
 			Retry: gateway.RetryBound{Ratio: 0.2, Slack: 56}, Millicores: max(100, 1000-100*i),
 		}
 		if i == 0 {
@@ -127,7 +130,11 @@
 	m.tasks = group.New(context.Background())
 	metrics, err := telemetry.New("gateway")
 	require.NoError(m.t, err)
-	m.gateway, err = gateway.New(m.settings, m.fakeDirectory, platform.Dialect{}, timer.New(m.tasks), timer.Uptime, boot, m.tasks, metrics, slog.New(slog.NewJSONHandler(m.log, nil)))
+	directory := m.directory
+	if directory == nil {
+		directory = m.fakeDirectory
+	}
+	m.gateway, err = gateway.New(m.settings, directory, platform.Dialect{}, timer.New(m.tasks), timer.Uptime, boot, m.tasks, metrics, slog.New(slog.NewJSONHandler(m.log, nil)))
 	require.NoError(m.t, err)
 	if err = m.gateway.Start(func(err error) { m.t.Error(err) }); err != nil {
 		m.stop()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,6 +150,7 @@
 	g.scheduler = dispatch.New(clock, s.Name, s.Domain, g.notices, func(urgent bool) { g.exchange.Changed(urgent) })
 	g.scheduler.SetColdBound(s.Cold)
 	g.scheduler.SetRampUp(s.RampUp)
+	g.catalog.BoundEndpoints(s.Drain)
 	g.followEvacuations()
 	g.scheduler.SetRegions(s.Regions)
 	g.slots = coordinator.NewClient(s.Name, boot, slotFleet{g}, g.scheduler, g.notices, clock, log)
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -32,6 +32,11 @@
 // Alive implements coordinator.Fleet.
 func (f slotFleet) Alive(name string) bool { return f.g.exchange.Alive(name) }
 
+// Outdated implements coordinator.Fleet.
+func (f slotFleet) Outdated(lists coordinator.Revisions) bool {
+	return f.g.catalog.Outdated(lists.Endpoints, lists.Evacuations)
+}
+
 // Send implements coordinator.Fleet.
 func (f slotFleet) Send(name string, datagram []byte) { f.g.exchange.Send(name, datagram) }
 
@@ -43,6 +48,11 @@
 // Settled implements coordinator.Lists.
 func (l slotLists) Settled() bool { return l.g.catalog.EndpointsSettled() }
 
+// Revisions implements coordinator.Lists.
+func (l slotLists) Revisions() coordinator.Revisions {
+	return coordinator.Revisions{Endpoints: l.g.catalog.EndpointsRevision(), Evacuations: l.g.catalog.EvacuationsRevision()}
+}
+
 // catalogFleet tells the catalog what part this gateway has in its fleet.
 type catalogFleet struct{ g *Gateway }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -51,6 +51,9 @@
 	Retry RetryBound
 	// Cold limits the requests to endpoints during their cold start.
 	Cold dispatch.ColdBound
+	// Drain is the time from an endpoint's report that it leaves after which nothing is sent
+	// to it; zero when there is no limit.
+	Drain time.Duration
 	// Evacuation is the time from the operator's request to evacuate a failure domain after
 	// which nothing is sent there; zero if there are no such requests.
 	Evacuation time.Duration
