Catalog: a call that outlasts its limit was suspended, which is no outage

Cause: the watch that was open during the freeze fails at the wake-up, which counted as an outage of the store. The list is then read in full, but an endpoint that is missing after an outage stays for missingGrace, since its entry may have lapsed while the store was down. The revisions that a grant carries cannot show this, as the list has been read.

Change: a call for the endpoints that fails after more than 3.2 s, when none may take longer than 3 s, does not count as an outage. If the store is down as well, the next call fails in time and counts.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -54,6 +54,9 @@
 	// directory stays in the list. Live endpoints register again about two seconds
 	// after the directory has recovered.
 	missingGrace = 2300 * time.Millisecond
+	// suspendedCall is the duration of a call for the endpoints that fails only because this
+	// process was suspended: a watch that gets no answer ends half a second after its wait.
+	suspendedCall = endpointsWatchTimeout + 700*time.Millisecond
 	// maxPeerWait is how long an entry waits for peers between its first read and its
 	// first watch. One that is told by peers needs no watch.
 	maxPeerWait = 250 * time.Millisecond
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -669,6 +669,30 @@
 	}
 }
 
+// Guards against an endpoint that has left and stays in the list of an entry that was
+// suspended meanwhile: the call that this ended is no outage of the directory.
+func TestMissingAfterSuspension(t *testing.T) {
+	for _, suspended := range []time.Duration{0, 3500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			d := &fakeDirectory{list: fleet.Of(fleet.Endpoint{ID: "a", Slots: 1}), revision: 1, table: newTable(t, 1)}
+			start, missed := time.Now(), atomic.Int64{}
+			uptime := func() time.Duration { return time.Hour + time.Since(start) + time.Duration(missed.Load()) }
+			tasks := group.New(context.Background())
+			defer tasks.Close()
+			c := catalog.New(d, timer.New(tasks), uptime, &fakeFleet{}, slog.New(slog.NewTextHandler(io.Discard, nil)), nil)
+			c.Start(tasks)
+			time.Sleep(time.Second)
+			missed.Store(int64(suspended))
+			d.update(func() { d.err, d.list = errDown, fleet.List{} })
+			time.Sleep(20 * time.Millisecond)
+			d.update(func() { d.err = nil })
+			time.Sleep(500 * time.Millisecond)
+			_, found := c.Snapshot().Endpoints.Find("a")
+			require.Equal(t, suspended == 0, found)
+		})
+	}
+}
+
 // Guards against a first list that is taken for new although the read that brought it may
 // be old: only the answer to a watch settles it, and that is asked for at once.
 func TestFirstListMayBeOld(t *testing.T) {
--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -29,6 +29,7 @@
 			delay = endpointsWatchDelay
 		case err != nil && !errors.Is(err, damasktrail.ErrUnchanged):
 			delay = f.failed(ctx, err, c.longestBackoff())
+			f.outage = f.outage || f.failures > 0 && c.uptime()-start < suspendedCall
 		}
 		c.endpointsRevision.Store(f.revision)
 		c.endpointsHorizon.add(c.endpointsChanged.Load(), c.uptime())
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -32,7 +32,8 @@
 	lastFullRead time.Time
 	// failures is the number of consecutive failures.
 	failures int
-	// outage reports whether a call has failed since the last full read.
+	// outage reports whether a call has failed since the last full read, while this process
+	// ran.
 	outage bool
 }
 
@@ -85,7 +86,6 @@
 		f.log.Info("many changes, reading the whole value", "topic", f.topic)
 		return 0
 	}
-	f.outage = true
 	f.failures++
 	// Failures 1, 2, 4, 8 and so on are logged, which shows whether their cause changes.
 	if f.failures&(f.failures-1) == 0 {
