--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -149,6 +149,42 @@
 	require.Equal(t, http.StatusOK, s.send("/open/x", "open", "").status, "an anonymous route needs no key")
 }
 
+// Guards against keys that come back after the last organisation has been withdrawn: at another
+// gateway, after a restart, and when the directory returns an older table.
+func TestWithdrawnKeysStayWithdrawn(t *testing.T) {
+	p := newFakeEndpoint(t, respondWith("ok"))
+	members := startFleet(t, 3, p)
+	number := 0
+	refuses := func(m *fleetMember) bool {
+		number++
+		id := fmt.Sprint("withdrawn-", number)
+		return m.send("/read/x", id, "").status == http.StatusUnauthorized && p.runCount(id) == 0
+	}
+	for _, m := range members {
+		require.False(t, refuses(m))
+	}
+	members[0].setTable(2, []routing.Organisation{})
+	for _, m := range members {
+		require.Eventually(t, func() bool { return refuses(m) }, 5*time.Second, 5*time.Millisecond)
+	}
+	members[1].stop()
+	members[1].start(100)
+	require.Eventually(t, members[1].ready, 5*time.Second, 5*time.Millisecond)
+	for _, m := range members {
+		require.True(t, refuses(m))
+	}
+	members[0].setTable(1, organisations())
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for i, m := range members {
+			number++
+			id := fmt.Sprint("older-", number)
+			status := m.send("/read/x", id, "").status
+			require.Contains(t, []int{http.StatusUnauthorized, http.StatusServiceUnavailable}, status, "gateway %d", i)
+			require.Zero(t, p.runCount(id))
+		}
+	}
+}
+
 // FuzzRoutePath guards against a target that is forwarded with another path than the one that
 // selected its route.
 func FuzzRoutePath(f *testing.F) {
