--- a/catalog/endpoints.go
+++ b/catalog/endpoints.go
@@ -93,7 +93,7 @@
 // dropEndpoints empties the list, which would grow old while this entry does not
 // follow the directory.
 func (c *Catalog) dropEndpoints() {
-	c.endpointsSettled.Store(true)
+	defer c.endpointsSettled.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := *c.current.Load()
