--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -155,7 +155,7 @@
 }
 
 // acquire waits for one slot. A coordinator whose lists are outdated is asked after the
-// others; when none of them replies, its slots are taken all the same.
+// others; when none of them has newer ones, its slots are taken all the same.
 func (c *Client) acquire(ctx context.Context, r dispatch.Request) (*Slot, *damasktrail.Refusal) {
 	start := c.clock.Now()
 	r.Closed = c.notices.Closures(r.Service, maxClosures, start)
