Coordinator: one that has just started grants slots without a revision

What callers saw: 503 "no endpoint that takes requests" where all coordinators had started within 250 ms, as after the start of a fleet.

Cause: since a coordinator whose list is not settled answered "unknown". A gateway that follows no list has then nobody else to ask. Its log shows the list dropped 11 ms before the refusal, entry-0 started 33 ms before.

Change: it grants, but its grants state no revision, so they count as outdated wherever a change has been known for half of its bound. Another coordinator is asked then; if nobody has a newer list, the slot is used.

TestCoordinatorStartsWithOldList fails without the comparison of revisions.

--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -37,10 +37,8 @@
 // Lists tells a server how new the lists are by which its scheduler decides. Its methods
 // must not block.
 type Lists interface {
-	// Settled reports whether the lists have been the newest at some time since the start.
-	// Until then the server grants nothing.
-	Settled() bool
-	// Revisions returns how far the lists are known.
+	// Revisions returns how far the lists are known: not at all until they have been the
+	// newest at some time since the start.
 	Revisions() Revisions
 }
 
@@ -134,7 +132,7 @@
 		s.reply(client, m, reply)
 		return
 	}
-	if len(c.asks) >= maxAsksPerClient || !s.lists.Settled() || !s.scheduler.Ready() {
+	if len(c.asks) >= maxAsksPerClient || !s.scheduler.Ready() {
 		s.mu.Unlock()
 		s.sendMessage(client, message{Kind: kindUnknown, Boot: m.Boot, ID: m.ID})
 		return
--- a/gateway/peer.go
+++ b/gateway/peer.go
@@ -45,11 +45,11 @@
 
 var _ coordinator.Lists = slotLists{}
 
-// Settled implements coordinator.Lists.
-func (l slotLists) Settled() bool { return l.g.catalog.EndpointsSettled() }
-
 // Revisions implements coordinator.Lists.
-func (l slotLists) Revisions() coordinator.Revisions {
+func (l slotLists) Revisions() (res coordinator.Revisions) {
+	if !l.g.catalog.EndpointsSettled() {
+		return res
+	}
 	return coordinator.Revisions{Endpoints: l.g.catalog.EndpointsRevision(), Evacuations: l.g.catalog.EvacuationsRevision()}
 }
 
